--- /dev/null
+++ b/adapter/src/front.rs
@@ -0,0 +1,241 @@
+//! One front: its decisions, the batches in hand, its timers, and the door where ids become small indices.
+
+use crate::settings;
+use crate::wire::Reply;
+use larchfall::interface::*;
+use larchfall::policy::Policy;
+use larchfall::time::{At, Span};
+use std::collections::{BTreeSet, HashMap};
+
+const TICK_TAG: u64 = 0;
+const DUE_TAG: u64 = 1;
+
+struct Slot {
+    id: u32,
+    out: usize,
+    over: bool,
+    due: Option<At>,
+}
+
+pub struct Front {
+    who: u32,
+    policy: Policy,
+    groups: usize,
+    pub customers: usize,
+    pub tells_work: bool,
+    report_fields: Vec<String>,
+    slots: Vec<Slot>,
+    spare: Vec<usize>,
+    by_id: HashMap<u32, usize>,
+    engines: Vec<[u8; 6]>,
+    engine_ix: HashMap<[u8; 6], usize>,
+    due: BTreeSet<(At, usize)>,
+    timer_at: Option<At>,
+}
+
+impl Front {
+    pub fn start(who: u32, seed: u64, boot: &[u8], now: At, reply: &mut Reply) -> Result<Front, String> {
+        let s = settings::read(boot)?;
+        let (groups, customers) = (s.groups.len(), s.customers.len());
+        let policy =
+            Policy::new(seed, s.fleet, s.groups, s.customers, s.caps, (s.cold, s.key_quiet), s.ration);
+        if s.must_ask {
+            reply.watch(who);
+        }
+        let front = Front {
+            who,
+            policy,
+            groups,
+            customers,
+            tells_work: s.tells_work,
+            report_fields: s.report_fields,
+            slots: Vec::new(),
+            spare: Vec::new(),
+            by_id: HashMap::new(),
+            engines: Vec::new(),
+            engine_ix: HashMap::new(),
+            due: BTreeSet::new(),
+            timer_at: None,
+        };
+        front.next_tick(now, reply);
+        Ok(front)
+    }
+
+    fn next_tick(&self, now: At, reply: &mut Reply) {
+        reply.schedule(self.who, (now + self.policy.tick_every()).micros(), TICK_TAG);
+    }
+
+    pub fn report(&self, values: &[f64]) -> Report {
+        let mut report = Report::default();
+        for (name, value) in self.report_fields.iter().zip(values) {
+            match name.as_str() {
+                "concurrent" => report.in_hand = Some(*value),
+                "depth" => report.waiting = Some(*value),
+                "load_share" => report.busy = Some(*value),
+                "x0" => report.memory = Some(*value),
+                "x1" => report.disks = Some(*value),
+                _ => {}
+            }
+        }
+        report
+    }
+
+    /// The list's entries: all of them, or changes only.
+    pub fn list(&mut self, now: At, entries: &[([u8; 6], Engine)], whole: bool) {
+        let mut named = vec![false; self.engines.len()];
+        for (address, engine) in entries {
+            let next = self.engines.len();
+            let e = *self.engine_ix.entry(*address).or_insert(next);
+            if e == next {
+                self.engines.push(*address);
+                named.push(false);
+            }
+            named[e] = true;
+            self.policy.engine(now, e, engine.clone());
+        }
+        if whole {
+            for e in (0..named.len()).filter(|e| !named[*e]) {
+                self.policy.engine_left(e);
+            }
+        }
+    }
+
+    pub fn engine(&self, address: [u8; 6]) -> Result<usize, String> {
+        let unknown = || format!("front {}: engine {address:?} is on no list it had", self.who);
+        self.engine_ix.get(&address).copied().ok_or_else(unknown)
+    }
+
+    pub fn take(&mut self, now: At, id: u32, batch: Batch, reply: &mut Reply) -> Result<(), String> {
+        if batch.group >= self.groups {
+            return Err(format!("front {}, id {id}: no service group {}", self.who, batch.group));
+        }
+        let slot = Slot { id, out: 0, over: false, due: None };
+        let b = match self.spare.pop() {
+            Some(b) => {
+                self.slots[b] = slot;
+                b
+            }
+            None => {
+                self.slots.push(slot);
+                self.slots.len() - 1
+            }
+        };
+        if self.by_id.insert(id, b).is_some() {
+            return Err(format!("front {}: id {id} came twice", self.who));
+        }
+        self.policy.take(now, b, batch);
+        self.ask(now, b, reply);
+        Ok(())
+    }
+
+    pub fn outcome(&mut self, now: At, id: u32, number: u8, answer: &Answer, reply: &mut Reply) {
+        let Some(&b) = self.by_id.get(&id) else { return };
+        let slot = &mut self.slots[b];
+        slot.out = slot.out.saturating_sub(1);
+        slot.over |= answer.over;
+        match self.policy.after(now, b, number, answer) {
+            Next::Ask => self.ask(now, b, reply),
+            Next::Over => self.leave(b),
+        }
+    }
+
+    pub fn client_left(&mut self, now: At, id: u32) {
+        let Some(&b) = self.by_id.get(&id) else { return };
+        if !self.slots[b].over {
+            self.policy.client_left(now, b);
+            self.slots[b].over = true;
+        }
+        self.leave(b);
+    }
+
+    pub fn note(&mut self, now: At, id: u32, number: u8, note: Note) {
+        if let Some(&b) = self.by_id.get(&id) {
+            self.policy.note(now, b, number, note);
+        }
+    }
+
+    pub fn probed(&mut self, now: At, e: usize, outcome: Outcome, report: Report) {
+        self.policy.probed(now, e, outcome, report);
+    }
+
+    pub fn timer(&mut self, now: At, tag: u64, reply: &mut Reply) {
+        if tag == TICK_TAG {
+            for e in self.policy.tick(now) {
+                reply.ping(self.who, self.engines[e]);
+            }
+            self.next_tick(now, reply);
+            return;
+        }
+        if self.timer_at.is_some_and(|at| at <= now) {
+            self.timer_at = None;
+        }
+        while let Some(&(at, b)) = self.due.first() {
+            if at > now {
+                break;
+            }
+            self.due.pop_first();
+            self.slots[b].due = None;
+            self.ask(now, b, reply);
+        }
+    }
+
+    /// Writes what the module answers until it has nothing more to say, then notes when to ask again.
+    fn ask(&mut self, now: At, b: usize, reply: &mut Reply) {
+        let (who, id) = (self.who, self.slots[b].id);
+        loop {
+            if self.slots[b].over {
+                return self.leave(b);
+            }
+            match self.policy.place(now, b) {
+                Place::Send(d) => {
+                    self.slots[b].out += 1;
+                    reply.resources(who, id, d.memory_mb.unwrap_or(0.0) as f32, d.priority);
+                    let allow = d.time_out.micros().clamp(1, u64::from(i32::MAX as u32)) as u32;
+                    reply.call_out(who, id, self.engines[d.engine], allow);
+                }
+                Place::NotYet => break,
+                Place::PushBack(wait) => {
+                    reply.deny(who, id, wait.unwrap_or(Span::ZERO).micros().min(u64::from(u32::MAX)) as u32);
+                    self.slots[b].over = true;
+                }
+                Place::Error => {
+                    reply.abort(who, id);
+                    self.slots[b].over = true;
+                }
+                Place::CallOff(number) => reply.call_off(who, id, number),
+                Place::Lift(memory_mb, priority) => {
+                    reply.resources(who, id, memory_mb.unwrap_or(0.0) as f32, priority)
+                }
+            }
+        }
+        let at = self.policy.wait(now, b);
+        if let Some(old) = self.slots[b].due.replace(at) {
+            self.due.remove(&(old, b));
+        }
+        self.due.insert((at, b));
+    }
+
+    /// Lets go of a batch once it is over and nothing of it is out.
+    fn leave(&mut self, b: usize) {
+        if let Some(at) = self.slots[b].due.take() {
+            self.due.remove(&(at, b));
+        }
+        if self.slots[b].over && self.slots[b].out == 0 {
+            self.by_id.remove(&self.slots[b].id);
+            self.spare.push(b);
+        }
+    }
+
+    /// After all events of one reading of the clock: the timer for what is due next, and the module's log lines.
+    pub fn settle(&mut self, reply: &mut Reply) {
+        if let Some(&(at, _)) = self.due.first()
+            && self.timer_at.is_none_or(|armed| at < armed)
+        {
+            reply.schedule(self.who, at.micros(), DUE_TAG);
+            self.timer_at = Some(at);
+        }
+        for line in self.policy.log_lines() {
+            reply.trace(self.who, &line);
+        }
+    }
+}
--- /dev/null
+++ b/adapter/src/settings.rs
@@ -0,0 +1,191 @@
+//! The JSON settings that a front starts with, read into the interface's plain types. Keys that are not known are
+//! passed over; what is absent is taken as the wire's page says.
+
+use larchfall::interface::*;
+use larchfall::time::Span;
+use serde::Deserialize;
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Raw {
+    az: usize,
+    discovery: String,
+    caps: RawCaps,
+    classes: Vec<RawGroup>,
+    domain: RawDomain,
+    instances: usize,
+    models: Vec<String>,
+    parties: Vec<RawCustomer>,
+    period: u64,
+    safety: RawSafety,
+    stats: RawStats,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawCaps {
+    cancel: bool,
+    max_attempts: usize,
+    max_retry_after: u64,
+    probes: bool,
+    retry_after: bool,
+    second_copies: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawGroup {
+    aim: u64,
+    aim_stretch: f64,
+    dedup_window: u64,
+    effect: String,
+    hard_limit: u64,
+    keep_order: bool,
+    key_scope: String,
+    late_value: f64,
+    models_open: Option<Vec<usize>>,
+    stays_in: Option<Vec<usize>>,
+    worth: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawDomain {
+    blocked_by_loads: Vec<bool>,
+    cost_in_answers: bool,
+    grants: bool,
+    note_period: u64,
+    ranks_heeded: bool,
+    size_cores: Vec<f64>,
+    size_mb: Vec<f64>,
+    threads_by_class: Vec<f64>,
+    writes_tables: Vec<bool>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawCustomer {
+    allowance_per_s: f64,
+    share: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawSafety {
+    budget_free: Option<f64>,
+    cold_from: f64,
+    extra_per_request: Option<f64>,
+    extra_window: Option<u64>,
+    fall: u64,
+    fall_multiple: f64,
+    grace_to_answer: u64,
+    key_quiet: u64,
+    ramp_time: u64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawStats {
+    fields: Vec<String>,
+    how: String,
+}
+
+/// What one front is handed at its start, part by part.
+pub struct Settings {
+    pub fleet: Fleet,
+    pub groups: Vec<ServiceGroup>,
+    pub customers: Vec<Customer>,
+    pub caps: Caps,
+    pub cold: ColdRule,
+    pub ration: Option<RationRule>,
+    pub key_quiet: Span,
+    pub tells_work: bool,
+    pub report_fields: Vec<String>,
+    pub must_ask: bool,
+}
+
+pub fn read(text: &[u8]) -> Result<Settings, String> {
+    let raw: Raw = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let us = Span::from_micros;
+    let some = |n: u64| (n > 0).then(|| us(n));
+    let mut groups = Vec::new();
+    for (i, g) in raw.classes.iter().enumerate() {
+        let effect = match g.effect.as_str() {
+            "read_like" => Effect::Repeatable,
+            "non_idempotent" => Effect::OnceOnly,
+            "idempotency_key" => Effect::Referenced {
+                scope: match g.key_scope.as_str() {
+                    "all" => Scope::All,
+                    "zone" => Scope::Zone,
+                    "cell" => Scope::Cell,
+                    other => return Err(format!("settings: classes[{i}].key_scope: unknown word '{other}'")),
+                },
+                window: us(g.dedup_window),
+            },
+            other => return Err(format!("settings: classes[{i}].effect: unknown word '{other}'")),
+        };
+        groups.push(ServiceGroup {
+            utility: g.worth,
+            late_share: g.late_value,
+            goal: us(g.aim),
+            goal_stretch: g.aim_stretch,
+            time_limit: us(g.hard_limit),
+            effect,
+            in_order: g.keep_order,
+            threads: raw.domain.threads_by_class.get(i).copied().unwrap_or(1.0),
+            holds_data: raw.domain.writes_tables.get(i).copied().unwrap_or(false),
+            waits_for_holder: raw.domain.blocked_by_loads.get(i).copied().unwrap_or(false),
+            zones: g.stays_in.clone(),
+            kinds: g.models_open.clone(),
+        });
+    }
+    let kinds = raw.models.len().max(raw.domain.size_cores.len());
+    let size = |v: &[f64], i: usize| v.get(i).copied().unwrap_or(0.0);
+    let s = &raw.safety;
+    Ok(Settings {
+        fleet: Fleet {
+            fronts: raw.instances.max(1),
+            zone: raw.az,
+            kinds: (0..kinds)
+                .map(|i| Kind {
+                    cores: size(&raw.domain.size_cores, i),
+                    memory_mb: size(&raw.domain.size_mb, i),
+                })
+                .collect(),
+            reports_in_answers: raw.stats.how == "answers",
+        },
+        groups,
+        customers: raw
+            .parties
+            .iter()
+            .map(|p| Customer { share: p.share, allowance: p.allowance_per_s })
+            .collect(),
+        caps: Caps {
+            call_off: raw.caps.cancel,
+            probes: raw.caps.probes,
+            second_copies: raw.caps.second_copies,
+            most_dispatches: raw.caps.max_attempts,
+            come_back: if raw.caps.retry_after { some(raw.caps.max_retry_after) } else { None },
+            sets_memory: raw.domain.grants,
+            sets_priority: raw.domain.ranks_heeded,
+            notes_every: some(raw.domain.note_period),
+            clock_step: us(raw.period),
+            answer_slack: us(s.grace_to_answer),
+        },
+        cold: ColdRule {
+            multiple: s.fall_multiple,
+            window: us(s.fall),
+            starts_at: s.cold_from,
+            warm_within: us(s.ramp_time),
+        },
+        ration: s.extra_window.filter(|w| *w > 0).map(|w| RationRule {
+            window: us(w),
+            free: s.budget_free.unwrap_or(0.0),
+            per_batch: s.extra_per_request.unwrap_or(0.0),
+        }),
+        key_quiet: us(s.key_quiet),
+        tells_work: raw.domain.cost_in_answers,
+        report_fields: raw.stats.fields,
+        must_ask: raw.discovery == "subscribe",
+    })
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,214 @@
+//! What goes into the decisions and what comes out: plain values, no wire. Engines, service groups, customers,
+//! zones, kinds and batches are small indices that the caller hands out; a batch's index may be used again once
+//! the batch is over and every dispatch of it has brought its outcome.
+
+use crate::time::{At, Span};
+
+/// Which fronts and machines there are.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    pub fronts: usize,
+    pub zone: usize,
+    pub kinds: Vec<Kind>,
+    /// Whether engines report their load with every answer, or only to probes.
+    pub reports_in_answers: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Kind {
+    pub cores: f64,
+    pub memory_mb: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct ServiceGroup {
+    pub utility: f64,
+    /// Share of the utility that an answer after the response goal still earns.
+    pub late_share: f64,
+    /// An answer is wanted within `goal`, plus `goal_stretch` times the work over the threads.
+    pub goal: Span,
+    pub goal_stretch: f64,
+    /// The client gives up after this; each batch also carries its own point in time.
+    pub time_limit: Span,
+    pub effect: Effect,
+    pub in_order: bool,
+    pub threads: f64,
+    /// Holds its data set on its engine while it runs.
+    pub holds_data: bool,
+    /// Stands still while a batch that holds its data set runs on the same engine.
+    pub waits_for_holder: bool,
+    /// The only zones and kinds it may be sent to; `None` leaves them open.
+    pub zones: Option<Vec<usize>>,
+    pub kinds: Option<Vec<usize>>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Repeatable,
+    /// A repeat is dropped by the engines of one scope, for a window from the first dispatch that may have run.
+    Referenced {
+        scope: Scope,
+        window: Span,
+    },
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Customer {
+    pub share: f64,
+    /// Batches a second over all fronts that count in full.
+    pub allowance: f64,
+}
+
+/// What the caller may ask of engines and clients.
+#[derive(Clone, Debug, Default)]
+pub struct Caps {
+    pub call_off: bool,
+    pub probes: bool,
+    pub second_copies: bool,
+    pub most_dispatches: usize,
+    /// The longest time to come back that clients heed, where they are told one at all.
+    pub come_back: Option<Span>,
+    pub sets_memory: bool,
+    pub sets_priority: bool,
+    /// Time between notes on a dispatch that is out, where there are notes.
+    pub notes_every: Option<Span>,
+    /// Smallest time between two readings of the clock.
+    pub clock_step: Span,
+    /// What the wait after a client's time limit costs nothing.
+    pub answer_slack: Span,
+}
+
+/// A cold engine falls over when sent more than `multiple` times its present capacity for `window`.
+#[derive(Clone, Debug, Default)]
+pub struct ColdRule {
+    pub multiple: f64,
+    pub window: Span,
+    pub starts_at: f64,
+    pub warm_within: Span,
+}
+
+/// Further dispatches in any `window`: `free` plus `per_batch` times the batches taken.
+#[derive(Clone, Debug, Default)]
+pub struct RationRule {
+    pub window: Span,
+    pub free: f64,
+    pub per_batch: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    pub zone: usize,
+    pub kind: usize,
+    pub cell: usize,
+    pub state: EngineState,
+    pub size: f64,
+    /// When it last started; `None` is long ago.
+    pub started: Option<At>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct Batch {
+    pub group: usize,
+    pub customer: Option<usize>,
+    pub key: Option<u64>,
+    pub time_limit: At,
+    /// A rough guess of the work of all its threads, as time on one.
+    pub work: Option<Span>,
+    pub memory_mb: Option<f64>,
+    pub data_set: u32,
+    pub client_retry: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Returned,
+    Errored,
+    /// Turned away unseen.
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    CalledOff,
+    /// Never sent.
+    Moot,
+}
+
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub outcome: Outcome,
+    pub took: Span,
+    /// Set once the batch is over, by this outcome or before it.
+    pub over: bool,
+    /// The work and memory that the batch needed, where answers tell.
+    pub work: Option<Span>,
+    pub memory_mb: Option<f64>,
+    pub report: Report,
+}
+
+/// An engine's load as it says itself: late and noisy.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub in_hand: Option<f64>,
+    pub waiting: Option<f64>,
+    pub busy: Option<f64>,
+    pub memory: Option<f64>,
+    pub disks: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Note {
+    /// Share done, rough.
+    Done(f64),
+    SpillsMb(f64),
+    WaitsForMemory,
+    WaitsForHolder,
+}
+
+/// Where a batch goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Place {
+    Send(Dispatch),
+    /// Nothing to do now: ask again after `wait`.
+    NotYet,
+    /// Final: trying again is harmless, best after the time given.
+    PushBack(Option<Span>),
+    /// Final: nothing is promised about what it did.
+    Error,
+    /// Quit waiting for the dispatch of this number.
+    CallOff(u8),
+    /// Same memory, new priority for what is out.
+    Lift(Option<f64>, u8),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Dispatch {
+    pub engine: usize,
+    pub time_out: Span,
+    /// Memory to grant in MB; `None` leaves it to the engine.
+    pub memory_mb: Option<f64>,
+    pub priority: u8,
+}
+
+/// What to do after an outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// The batch is over.
+    Over,
+    /// Something is still open: ask where the batch goes.
+    Ask,
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,733 @@
+//! All decisions of a front. How it is called: `take` a batch, ask `place` where it goes until that says `NotYet` or
+//! gives a final answer, then ask `wait` when to ask again; tell each outcome to `after`. The engine list, notes,
+//! probe results and the one periodic `tick` are told besides. The types are in `interface.rs`, the calls in
+//! `impl Policy` at the end. The ordinary path: a batch takes the ready engine with most free budget of its service
+//! group; budgets (threads per engine and group) move each tick by asymmetric AIMD on one congestion signal and bind
+//! only while the engine's last tick read congested; with no room anywhere it is pushed back at once.
+
+use crate::interface::*;
+use crate::time::{At, Span};
+use nanorand::{Rng, WyRand};
+use std::collections::{BTreeMap, VecDeque};
+
+// Per rank, the highest first: threads added on a calm tick, factor on a congested one, priority sent.
+const RANKS: [(f64, f64, u8); 3] = [(1.5, 0.8, 3), (1.0, 0.6, 2), (0.5, 0.4, 1)];
+const TICK: Span = Span::from_millis(1000);
+const THREADS_A_CORE: f64 = 1.5;
+// A batch that waits for its key's turn is looked at this often; one that is out, this often.
+const KEY_LOOK: Span = Span::from_millis(20);
+const OUT_LOOK: Span = Span::from_millis(250);
+const MOST_FURTHER: usize = 2;
+// The sequential test: bad outcomes in a hundred of a sound and of a failing engine, and the evidence that decides.
+const SOUND_BAD: f64 = 0.05;
+const FAILING_BAD: f64 = 0.5;
+const EVIDENCE: f64 = 4.0;
+const TRIAL_FIRST: Span = Span::from_millis(1000);
+const TRIAL_MOST: Span = Span::from_millis(8000);
+// A dispatch should have brought a note by this many periods of notes.
+const NOTE_SLACK: f64 = 1.6;
+// Of the cold rule's budget, what this front spends: estimates of work scatter, and fronts know of a start at other times.
+const COLD_SPEND: f64 = 0.7;
+const OVERLOAD_SHARE: f64 = 0.5;
+
+/// Budgets of running threads of one engine, one a service group.
+struct Budgets {
+    budget: Vec<f64>,
+    running: Vec<f64>,
+    ceiling: f64,
+    congested: bool,
+    // What this tick has shown so far.
+    answers: f64,
+    late: f64,
+    jammed: bool,
+}
+
+impl Budgets {
+    fn new(cores: f64, fronts: usize, thread_shares: &[f64]) -> Budgets {
+        let ceiling = (cores * THREADS_A_CORE).max(1.0);
+        let budget = thread_shares.iter().map(|s| ceiling / fronts.max(1) as f64 * s).collect();
+        let running = vec![0.0; thread_shares.len()];
+        Budgets { budget, running, ceiling, congested: false, answers: 0.0, late: 0.0, jammed: false }
+    }
+
+    fn free(&self, group: usize) -> f64 {
+        self.budget[group] - self.running[group]
+    }
+
+    /// Budgets bind only while the last tick read congested.
+    fn has_room(&self, group: usize, threads: f64) -> bool {
+        !self.congested || self.free(group) >= threads
+    }
+
+    fn tick(&mut self, ranks: &[usize], threads: &[f64]) {
+        self.congested = self.jammed || self.late > 0.0;
+        for (g, budget) in self.budget.iter_mut().enumerate() {
+            let (add, factor, _) = RANKS[ranks[g]];
+            *budget = if self.congested { *budget * factor } else { *budget + add };
+            *budget = budget.min(self.ceiling.max(threads[g])).max(threads[g]);
+        }
+        (self.answers, self.late, self.jammed) = (0.0, 0.0, false);
+    }
+}
+
+/// Rule 7: further dispatches of this front within the ration of any window since its start.
+struct Ration {
+    rule: Option<RationRule>,
+    taken: VecDeque<At>,
+    further: VecDeque<At>,
+}
+
+impl Ration {
+    fn allows(&mut self, now: At) -> bool {
+        let Some(rule) = &self.rule else { return true };
+        for line in [&mut self.taken, &mut self.further] {
+            while line.front().is_some_and(|at| now.since(*at) >= rule.window) {
+                line.pop_front();
+            }
+        }
+        (self.further.len() + 1) as f64 <= rule.free + rule.per_batch * self.taken.len() as f64
+    }
+
+    fn count_taken(&mut self, now: At) {
+        if self.rule.is_some() {
+            self.taken.push_back(now);
+        }
+    }
+
+    fn count_further(&mut self, now: At) {
+        if self.rule.is_some() {
+            self.further.push_back(now);
+        }
+    }
+}
+
+/// Rule 5: batches of one key in the order taken. A line keeps a batch until it is over and nothing of it is out.
+struct Keys {
+    quiet: Span,
+    lines: BTreeMap<u64, (VecDeque<usize>, At)>,
+}
+
+impl Keys {
+    fn join(&mut self, key: u64, b: usize) {
+        self.lines.entry(key).or_default().0.push_back(b);
+    }
+
+    fn has_turn(&self, key: u64, b: usize, now: At, sent_before: bool) -> bool {
+        let Some((line, rests_until)) = self.lines.get(&key) else { return true };
+        line.front() == Some(&b) && (sent_before || now >= *rests_until)
+    }
+
+    /// After such an outcome the dispatch may still run, so the key rests.
+    fn unsure(&mut self, key: u64, until: At) {
+        if let Some((_, rests_until)) = self.lines.get_mut(&key) {
+            *rests_until = until.max(*rests_until);
+        }
+    }
+
+    fn leave(&mut self, key: u64, b: usize, now: At) {
+        if let Some((line, rests_until)) = self.lines.get_mut(&key) {
+            line.retain(|other| *other != b);
+            if line.is_empty() && *rests_until <= now {
+                self.lines.remove(&key);
+            }
+        }
+    }
+}
+
+/// Rule 4: what this front sent a cold engine lately, as usual work, against its even share of what all may send.
+/// An even share holds however unevenly traffic is spread, since no front takes another's.
+#[derive(Default)]
+struct Cold {
+    sent: VecDeque<(At, f64)>,
+}
+
+/// Share of its capacity that an engine surely has: the shape of the ramp is not told, so a slow one is taken.
+fn warmth(rule: &ColdRule, started: Option<At>, now: At) -> f64 {
+    let Some(started) = started else { return 1.0 };
+    let age = now.since(started) / (rule.warm_within + Span::from_millis(500));
+    if age >= 1.0 { 1.0 } else { rule.starts_at + (1.0 - rule.starts_at) * age * age }
+}
+
+impl Cold {
+    fn allows(&mut self, rule: &ColdRule, fronts: usize, cores: f64, warm: f64, work: f64, now: At) -> bool {
+        if warm >= 1.0 || rule.multiple <= 0.0 {
+            return true;
+        }
+        while self.sent.front().is_some_and(|(at, _)| now.since(*at) > rule.window) {
+            self.sent.pop_front();
+        }
+        let spent: f64 = self.sent.iter().map(|(_, w)| w).sum();
+        let all = rule.multiple * warm * cores * 0.85 * rule.window.secs();
+        spent + work <= all * COLD_SPEND / fronts.max(1) as f64
+    }
+}
+
+/// The sequential test on an engine's outcomes: evidence for a failing one adds up, sound outcomes take it down.
+/// A failing engine gets a trial now and then; one good outcome or a new start clears it.
+#[derive(Default)]
+struct Health {
+    evidence: f64,
+    failing_since: Option<At>,
+    trial_at: At,
+    trial_gap: Span,
+    on_trial: bool,
+}
+
+impl Health {
+    fn see(&mut self, bad: bool, now: At) -> bool {
+        let step =
+            if bad { (FAILING_BAD / SOUND_BAD).ln() } else { ((1.0 - FAILING_BAD) / (1.0 - SOUND_BAD)).ln() };
+        self.evidence = (self.evidence + step).max(0.0);
+        if self.failing_since.is_some() {
+            self.on_trial = false;
+            if bad {
+                self.trial_gap = (self.trial_gap * 2.0).min(TRIAL_MOST);
+                self.trial_at = now + self.trial_gap;
+            } else {
+                *self = Health::default();
+                return true;
+            }
+        } else if self.evidence >= EVIDENCE {
+            self.failing_since = Some(now);
+            self.trial_gap = TRIAL_FIRST;
+            self.trial_at = now + TRIAL_FIRST;
+            return true;
+        }
+        false
+    }
+}
+
+/// A service group's usual work and how its estimates lean, learnt from answers.
+struct Usual {
+    hinted: f64,
+    lean: f64,
+    told: Option<f64>,
+    count: f64,
+}
+
+impl Usual {
+    fn work(&self, hint: Option<Span>) -> Option<f64> {
+        hint.map(|h| h.secs() * self.lean)
+            .or(self.told)
+            .or((self.count > 0.0).then_some(self.hinted * self.lean))
+    }
+
+    /// The mean that the cold rule goes by.
+    fn mean(&self) -> f64 {
+        self.told.unwrap_or(self.hinted * self.lean.max(1.0)).max(0.001)
+    }
+
+    fn hint(&mut self, hint: Option<Span>) {
+        let Some(hint) = hint else { return };
+        self.count = (self.count + 1.0).min(500.0);
+        self.hinted += (hint.secs() - self.hinted) / self.count;
+    }
+
+    /// Where answers tell the work it is learnt as told. Elsewhere the lean follows a low quantile of time times
+    /// threads over the hint: an answer is never faster than its work, and most wait a little.
+    fn learn(&mut self, hint: Option<Span>, told: Option<Span>, took: Span, threads: f64) {
+        if let Some(told) = told {
+            let mean = self.told.get_or_insert(told.secs());
+            *mean += (told.secs() - *mean) * 0.02;
+        }
+        let Some(hint) = hint.filter(|h| h.micros() > 0) else { return };
+        match told {
+            Some(told) => self.lean *= ((told / hint).max(0.01) / self.lean).powf(0.03),
+            None if took.secs() * threads / hint.secs() < self.lean => self.lean *= 0.98,
+            None => self.lean *= 1.01,
+        }
+        self.lean = self.lean.clamp(0.1, 10.0);
+    }
+}
+
+struct EngineNow {
+    told: Engine,
+    budgets: Budgets,
+    cold: Cold,
+    health: Health,
+    heard: At,
+}
+
+struct Out {
+    number: u8,
+    engine: usize,
+    sent: At,
+    heard: At,
+    priority: u8,
+    called_off: bool,
+}
+
+struct Held {
+    batch: Batch,
+    work: Option<f64>,
+    taken: At,
+    out: Vec<Out>,
+    dispatches: usize,
+    last_engine: Option<usize>,
+    /// The first dispatch that may have run: engine and time sent.
+    may_have_run: Option<(usize, At)>,
+    over: bool,
+}
+
+pub struct Policy {
+    fleet: Fleet,
+    groups: Vec<ServiceGroup>,
+    ranks: Vec<usize>,
+    threads: Vec<f64>,
+    customers: Vec<Customer>,
+    caps: Caps,
+    cold: ColdRule,
+    ration: Ration,
+    keys: Keys,
+    usual: Vec<Usual>,
+    /// Threads times batches lately, by group: what the first budgets are split by.
+    asked: Vec<f64>,
+    engines: Vec<Option<EngineNow>>,
+    batches: Vec<Option<Held>>,
+    overloaded: bool,
+    log: Vec<String>,
+    chance: WyRand,
+}
+
+/// Utility first, then the shorter response goal.
+fn rank(groups: &[ServiceGroup]) -> Vec<usize> {
+    let before = |a: &ServiceGroup, b: &ServiceGroup| {
+        a.utility > b.utility || (a.utility == b.utility && a.goal < b.goal)
+    };
+    groups.iter().map(|g| groups.iter().filter(|o| before(o, g)).count().min(RANKS.len() - 1)).collect()
+}
+
+/// Rule 2's first question. Whatever else came back, the dispatch may have run.
+fn proves_not_run(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+}
+
+/// Rule 2: a pushback says that trying again is harmless.
+fn may_push_back(effect: Effect, may_have_run: bool) -> bool {
+    !may_have_run
+        || match effect {
+            Effect::Repeatable => true,
+            Effect::Referenced { scope, .. } => scope == Scope::All,
+            Effect::OnceOnly => false,
+        }
+}
+
+/// Rule 2: whether a further dispatch may go to this engine now.
+fn may_repeat(effect: Effect, first: Option<(&Engine, At)>, to: &Engine, now: At, step: Span) -> bool {
+    let Some((ran_on, at)) = first else { return true };
+    match effect {
+        Effect::Repeatable => true,
+        Effect::OnceOnly => false,
+        Effect::Referenced { scope, window } => {
+            now.since(at) + step < window
+                && match scope {
+                    Scope::All => true,
+                    Scope::Zone => ran_on.zone == to.zone,
+                    Scope::Cell => ran_on.cell == to.cell,
+                }
+        }
+    }
+}
+
+/// Rule 6.
+fn in_place(group: &ServiceGroup, engine: &Engine) -> bool {
+    group.zones.as_ref().is_none_or(|z| z.contains(&engine.zone))
+        && group.kinds.as_ref().is_none_or(|k| k.contains(&engine.kind))
+}
+
+impl Policy {
+    pub fn new(
+        seed: u64,
+        fleet: Fleet,
+        groups: Vec<ServiceGroup>,
+        customers: Vec<Customer>,
+        caps: Caps,
+        (cold, key_quiet): (ColdRule, Span),
+        ration: Option<RationRule>,
+    ) -> Policy {
+        let ranks = rank(&groups);
+        let threads: Vec<f64> = groups.iter().map(|g| g.threads.max(1.0)).collect();
+        let usual = groups
+            .iter()
+            .map(|_| Usual { hinted: 0.0, lean: 1.0, told: None, count: 0.0 })
+            .collect::<Vec<_>>();
+        Policy {
+            asked: threads.clone(),
+            fleet,
+            ranks,
+            threads,
+            usual,
+            customers,
+            caps,
+            cold,
+            ration: Ration { rule: ration, taken: VecDeque::new(), further: VecDeque::new() },
+            keys: Keys { quiet: key_quiet, lines: BTreeMap::new() },
+            groups,
+            engines: Vec::new(),
+            batches: Vec::new(),
+            overloaded: false,
+            log: Vec::new(),
+            chance: WyRand::new_seed(seed),
+        }
+    }
+
+    /// The list's word on one engine.
+    pub fn engine(&mut self, now: At, e: usize, told: Engine) {
+        if self.engines.len() <= e {
+            self.engines.resize_with(e + 1, || None);
+        }
+        if let Some(engine) = &mut self.engines[e] {
+            if engine.told.started != told.started {
+                // Whatever was held against the process that ran there before says nothing of the new one.
+                engine.health = Health::default();
+                engine.budgets.congested = false;
+                engine.heard = now;
+            }
+            engine.told = told;
+            return;
+        }
+        let cores = self.fleet.kinds.get(told.kind).map_or(1.0, |k| k.cores.max(1.0));
+        let all: f64 = self.asked.iter().sum();
+        let shares: Vec<f64> = self.asked.iter().map(|a| a / all.max(1e-9)).collect();
+        self.engines[e] = Some(EngineNow {
+            told,
+            budgets: Budgets::new(cores, self.fleet.fronts, &shares),
+            cold: Cold::default(),
+            health: Health::default(),
+            heard: now,
+        });
+    }
+
+    /// A full list leaves out the engines that are gone.
+    pub fn engine_left(&mut self, e: usize) {
+        if let Some(Some(engine)) = self.engines.get_mut(e) {
+            engine.told.state = EngineState::Gone;
+        }
+    }
+
+    pub fn take(&mut self, now: At, b: usize, batch: Batch) {
+        self.ration.count_taken(now);
+        let g = batch.group;
+        self.asked[g] = self.asked[g] * 0.999 + self.threads[g];
+        for (i, asked) in self.asked.iter_mut().enumerate() {
+            if i != g {
+                *asked *= 0.999;
+            }
+        }
+        self.usual[g].hint(batch.work);
+        if let (true, Some(key)) = (self.groups[g].in_order, batch.key) {
+            self.keys.join(key, b);
+        }
+        let work = self.usual[g].work(batch.work);
+        let held = Held {
+            batch,
+            work,
+            taken: now,
+            out: Vec::new(),
+            dispatches: 0,
+            last_engine: None,
+            may_have_run: None,
+            over: false,
+        };
+        if self.batches.len() <= b {
+            self.batches.resize_with(b + 1, || None);
+        }
+        self.batches[b] = Some(held);
+    }
+
+    /// Where to send this batch, or not yet, or never.
+    pub fn place(&mut self, now: At, b: usize) -> Place {
+        let Some(held) = self.batches.get(b).and_then(|h| h.as_ref()).filter(|h| !h.over) else {
+            return Place::NotYet;
+        };
+        if !held.out.is_empty() {
+            return self.look_at_out(now, b);
+        }
+        let group = &self.groups[held.batch.group];
+        // An own due time lands on the next reading of the clock, so the last safe moment lies before the limit.
+        if now + self.caps.clock_step + self.caps.clock_step + self.caps.clock_step >= held.batch.time_limit {
+            return self.give_up(now, b);
+        }
+        if let (true, Some(key)) = (group.in_order, held.batch.key)
+            && !self.keys.has_turn(key, b, now, held.dispatches > 0)
+        {
+            return Place::NotYet;
+        }
+        if held.dispatches > 0 {
+            let spent = held.dispatches > MOST_FURTHER || held.dispatches >= self.caps.most_dispatches;
+            if self.overloaded || spent || !self.ration.allows(now) {
+                return self.give_up(now, b);
+            }
+        }
+        match self.choose(now, b) {
+            Some(e) => self.send(now, b, e),
+            None => self.give_up(now, b),
+        }
+    }
+
+    /// What to do after this outcome.
+    pub fn after(&mut self, now: At, b: usize, number: u8, answer: &Answer) -> Next {
+        let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) else { return Next::Over };
+        let Some(i) = held.out.iter().position(|o| o.number == number) else { return Next::Over };
+        let out = held.out.remove(i);
+        let g = held.batch.group;
+        let group = &self.groups[g];
+        held.over |= answer.over;
+        if !proves_not_run(answer.outcome) && held.may_have_run.is_none_or(|(_, at)| out.sent < at) {
+            held.may_have_run = Some((out.engine, out.sent));
+        }
+        let unsure = matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff);
+        if let (true, Some(key)) = (group.in_order, held.batch.key) {
+            if unsure {
+                self.keys.unsure(key, now + self.keys.quiet);
+            }
+            if held.over && held.out.is_empty() {
+                self.keys.leave(key, b, now);
+            }
+        }
+        let Some(engine) = self.engines[out.engine].as_mut() else { return Next::Over };
+        engine.budgets.running[g] = (engine.budgets.running[g] - self.threads[g]).max(0.0);
+        let tick = &mut engine.budgets;
+        match answer.outcome {
+            Outcome::Returned => {
+                tick.answers += 1.0;
+                let work = answer.work.map(|w| w.secs()).or(held.work).unwrap_or(0.0);
+                let goal = group.goal + Span::from_secs(group.goal_stretch * work / self.threads[g]);
+                if answer.took > goal {
+                    tick.late += 1.0;
+                }
+                self.usual[g].learn(held.batch.work, answer.work, answer.took, self.threads[g]);
+            }
+            Outcome::Full | Outcome::TimedOut => tick.jammed = true,
+            _ => {}
+        }
+        let bad = matches!(
+            answer.outcome,
+            Outcome::ConnectFailed | Outcome::Reset | Outcome::Errored | Outcome::TimedOut
+        );
+        if !matches!(answer.outcome, Outcome::Moot | Outcome::CalledOff | Outcome::Full) {
+            if answer.outcome != Outcome::TimedOut {
+                engine.heard = now;
+            }
+            if engine.health.see(bad, now) {
+                let word = if bad { "failing: outcomes" } else { "sound again: an outcome" };
+                self.log.push(format!("engine {} {word}", out.engine));
+            }
+        }
+        let over = held.over;
+        if over && held.out.is_empty() {
+            self.batches[b] = None;
+        }
+        if over { Next::Over } else { Next::Ask }
+    }
+
+    /// How long to wait before asking about this batch again.
+    pub fn wait(&self, now: At, b: usize) -> At {
+        let Some(held) = self.batches.get(b).and_then(|h| h.as_ref()) else { return now + OUT_LOOK };
+        if held.out.is_empty() { now + KEY_LOOK } else { now + OUT_LOOK }
+    }
+
+    /// The client left; what is out still brings its outcome.
+    pub fn client_left(&mut self, now: At, b: usize) {
+        self.end(now, b);
+    }
+
+    pub fn note(&mut self, now: At, b: usize, number: u8, _note: Note) {
+        let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) else { return };
+        let Some(out) = held.out.iter_mut().find(|o| o.number == number) else { return };
+        out.heard = now;
+        if let Some(engine) = self.engines[out.engine].as_mut() {
+            engine.heard = now;
+        }
+    }
+
+    pub fn probed(&mut self, now: At, e: usize, outcome: Outcome, _report: Report) {
+        let Some(Some(engine)) = self.engines.get_mut(e) else { return };
+        if outcome == Outcome::Returned {
+            engine.heard = now;
+        }
+        if engine.health.see(outcome != Outcome::Returned, now) {
+            self.log.push(format!("engine {e} after a probe: {outcome:?}"));
+        }
+    }
+
+    /// The periodic work; answers which engines to probe.
+    pub fn tick(&mut self, now: At) -> Vec<usize> {
+        let mut probes = Vec::new();
+        let (mut ready, mut congested) = (0.0, 0.0);
+        let mut missed = vec![0usize; self.engines.len()];
+        if let Some(every) = self.caps.notes_every {
+            for out in self.batches.iter().flatten().flat_map(|h| &h.out) {
+                let heard = self.engines[out.engine].as_ref().map_or(now, |e| e.heard).max(out.heard);
+                if !out.called_off && now.since(heard) > every * NOTE_SLACK {
+                    missed[out.engine] += 1;
+                }
+            }
+        }
+        for (e, slot) in self.engines.iter_mut().enumerate() {
+            let Some(engine) = slot else { continue };
+            engine.budgets.tick(&self.ranks, &self.threads);
+            // Silence: notes are due from what is out and nothing at all has come from the engine.
+            for _ in 0..missed[e].min(2) {
+                if engine.health.failing_since.is_none() && engine.health.see(true, now) {
+                    self.log.push(format!("engine {e} failing: silent"));
+                }
+            }
+            if engine.told.state != EngineState::Ready {
+                continue;
+            }
+            ready += 1.0;
+            congested += f64::from(u8::from(engine.budgets.congested));
+            let health = &mut engine.health;
+            if self.caps.probes && health.failing_since.is_some() && now >= health.trial_at {
+                health.trial_at = now + health.trial_gap;
+                probes.push(e);
+            }
+        }
+        let overloaded = ready > 0.0 && congested >= ready * OVERLOAD_SHARE;
+        if overloaded != self.overloaded {
+            self.overloaded = overloaded;
+            self.log.push(format!(
+                "overload {}: {congested} of {ready} engines congested",
+                if overloaded { "on" } else { "off" }
+            ));
+        }
+        probes
+    }
+
+    pub fn tick_every(&self) -> Span {
+        TICK
+    }
+
+    pub fn log_lines(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.log)
+    }
+
+    /// The ready engine with most free budget of the batch's group, of those that the rules leave open.
+    fn choose(&mut self, now: At, b: usize) -> Option<usize> {
+        let held = self.batches[b].as_ref()?;
+        let g = held.batch.group;
+        let group = &self.groups[g];
+        let first = held.may_have_run.and_then(|(e, at)| Some((self.engines[e].as_ref()?.told.clone(), at)));
+        let first = first.as_ref().map(|(engine, at)| (engine, *at));
+        let mean = self.usual[g].mean();
+        let mut open: Vec<(usize, f64, bool)> = Vec::new();
+        let (mut any_ready, mut any_sound) = (false, false);
+        for (e, slot) in self.engines.iter_mut().enumerate() {
+            let Some(engine) = slot else { continue };
+            if engine.told.state != EngineState::Ready
+                || !in_place(group, &engine.told)
+                || !engine.budgets.has_room(g, self.threads[g])
+                || !may_repeat(group.effect, first, &engine.told, now, self.caps.clock_step)
+            {
+                continue;
+            }
+            let cores = self.fleet.kinds.get(engine.told.kind).map_or(1.0, |k| k.cores.max(1.0));
+            let warm = warmth(&self.cold, engine.told.started, now);
+            if !engine.cold.allows(&self.cold, self.fleet.fronts, cores, warm, mean, now) {
+                continue;
+            }
+            any_ready = true;
+            let health = &engine.health;
+            // A trial batch is one that may run again; where probes are allowed they do the trying.
+            let trial = group.effect == Effect::Repeatable
+                && !self.caps.probes
+                && !health.on_trial
+                && now >= health.trial_at;
+            let sound = health.failing_since.is_none() || trial;
+            any_sound |= sound;
+            let free = engine.budgets.free(g) - if held.last_engine == Some(e) { 1e6 } else { 0.0 };
+            open.push((e, free, sound));
+        }
+        if !any_ready {
+            return None;
+        }
+        // With every engine judged failing the judgement itself is in doubt: go by budgets alone.
+        let mut best: Option<(usize, f64)> = None;
+        let mut ties = 0u64;
+        for (e, free, sound) in open {
+            if any_sound && !sound {
+                continue;
+            }
+            match best {
+                Some((_, most)) if free < most - 1e-9 => {}
+                Some((_, most)) if free <= most + 1e-9 => {
+                    ties += 1;
+                    if self.chance.generate_range(0..=ties) == 0 {
+                        best = Some((e, free));
+                    }
+                }
+                _ => (best, ties) = (Some((e, free)), 0),
+            }
+        }
+        best.map(|(e, _)| e)
+    }
+
+    fn send(&mut self, now: At, b: usize, e: usize) -> Place {
+        let (Some(held), Some(engine)) = (self.batches[b].as_mut(), self.engines[e].as_mut()) else {
+            return Place::NotYet;
+        };
+        let g = held.batch.group;
+        if held.dispatches > 0 {
+            self.ration.count_further(now);
+        }
+        if engine.health.failing_since.is_some() {
+            engine.health.on_trial = true;
+        }
+        engine.budgets.running[g] += self.threads[g];
+        if warmth(&self.cold, engine.told.started, now) < 1.0 {
+            engine.cold.sent.push_back((now, self.usual[g].mean()));
+        }
+        let priority = RANKS[self.ranks[g]].2;
+        let number = held.dispatches as u8;
+        held.out.push(Out { number, engine: e, sent: now, heard: now, priority, called_off: false });
+        held.dispatches += 1;
+        held.last_engine = Some(e);
+        // Ends before the time limit, so that the answer it still calls for is in time.
+        let step = self.caps.clock_step;
+        let time_out = held.batch.time_limit.since(now + step + step);
+        Place::Send(Dispatch { engine: e, time_out, memory_mb: None, priority })
+    }
+
+    /// A batch that is out: call it off where its engine went silent and it may go elsewhere.
+    fn look_at_out(&mut self, now: At, b: usize) -> Place {
+        let Some(held) = self.batches[b].as_mut() else { return Place::NotYet };
+        let group = &self.groups[held.batch.group];
+        let further = held.dispatches <= MOST_FURTHER && held.dispatches < self.caps.most_dispatches;
+        if group.effect != Effect::Repeatable || !further || self.overloaded || !self.caps.call_off {
+            return Place::NotYet;
+        }
+        if !self.ration.allows(now) {
+            return Place::NotYet;
+        }
+        for out in held.out.iter_mut().filter(|o| !o.called_off) {
+            let failing = self.engines[out.engine].as_ref().is_some_and(|e| e.health.failing_since.is_some());
+            let silent = self.caps.notes_every.is_some_and(|n| now.since(out.heard) > n * NOTE_SLACK);
+            if failing && silent {
+                out.called_off = true;
+                return Place::CallOff(out.number);
+            }
+        }
+        Place::NotYet
+    }
+
+    /// The final answer at once: a pushback where trying again is harmless, else an error.
+    fn give_up(&mut self, now: At, b: usize) -> Place {
+        let Some(held) = self.batches[b].as_ref() else { return Place::NotYet };
+        let effect = self.groups[held.batch.group].effect;
+        let harmless = may_push_back(effect, held.may_have_run.is_some());
+        self.end(now, b);
+        if harmless { Place::PushBack(self.caps.come_back) } else { Place::Error }
+    }
+
+    fn end(&mut self, now: At, b: usize) {
+        let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) else { return };
+        held.over = true;
+        if held.out.is_empty() {
+            if let (true, Some(key)) = (self.groups[held.batch.group].in_order, held.batch.key) {
+                self.keys.leave(key, b, now);
+            }
+            self.batches[b] = None;
+        }
+    }
+}
