--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,9 +10,13 @@
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, VecDeque};
 
-// Per rank, the highest first: threads added on a calm tick, factor on a congested one, priority sent.
+// Per rank, the highest first: threads added in a calm second, factor of a congested one, priority sent.
 const RANKS: [(f64, f64, u8); 3] = [(1.5, 0.8, 3), (1.0, 0.6, 2), (0.5, 0.4, 1)];
-const TICK: Span = Span::from_millis(1000);
+// Shorter than the page's second, with the steps scaled to it: a jam builds up in less than that.
+const TICK: Span = Span::from_millis(250);
+// Share of what a tick heard of that may be late before it reads congested; share of what is out that may be overdue.
+const LATE_SHARE: f64 = 0.25;
+const OVERDUE_SHARE: f64 = 0.5;
 const THREADS_A_CORE: f64 = 1.5;
 // A batch that waits for its key's turn is looked at this often; one that is out, this often.
 const KEY_LOOK: Span = Span::from_millis(20);
@@ -59,11 +63,19 @@
         !self.congested || self.free(group) >= threads
     }
 
-    fn tick(&mut self, ranks: &[usize], threads: &[f64]) {
-        self.congested = self.jammed || self.late > 0.0;
+    /// What is out past its goal reads as late before it answers: a stuffed engine answers nothing at all.
+    fn tick(&mut self, ranks: &[usize], threads: &[f64], overdue: f64, out: f64) {
+        let was = self.congested;
+        self.congested =
+            self.jammed || self.late > self.answers * LATE_SHARE || overdue > out * OVERDUE_SHARE;
         for (g, budget) in self.budget.iter_mut().enumerate() {
             let (add, factor, _) = RANKS[ranks[g]];
-            *budget = if self.congested { *budget * factor } else { *budget + add };
+            if self.congested && !was {
+                // Room that was never used says nothing of what the engine bears.
+                *budget = budget.min(self.running[g]);
+            }
+            let step = TICK.secs();
+            *budget = if self.congested { *budget * factor.powf(step) } else { *budget + add * step };
             *budget = budget.min(self.ceiling.max(threads[g])).max(threads[g]);
         }
         (self.answers, self.late, self.jammed) = (0.0, 0.0, false);
@@ -467,10 +479,14 @@
 
     /// What to do after this outcome.
     pub fn after(&mut self, now: At, b: usize, number: u8, answer: &Answer) -> Next {
-        let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) else { return Next::Over };
+        let Some((g, work)) = self.batches.get(b).and_then(|h| h.as_ref()).map(|h| (h.batch.group, h.work))
+        else {
+            return Next::Over;
+        };
+        let goal = self.goal(g, answer.work.map(|w| w.secs()).or(work));
+        let Some(held) = self.batches[b].as_mut() else { return Next::Over };
         let Some(i) = held.out.iter().position(|o| o.number == number) else { return Next::Over };
         let out = held.out.remove(i);
-        let g = held.batch.group;
         let group = &self.groups[g];
         held.over |= answer.over;
         if !proves_not_run(answer.outcome) && held.may_have_run.is_none_or(|(_, at)| out.sent < at) {
@@ -491,8 +507,6 @@
         match answer.outcome {
             Outcome::Returned => {
                 tick.answers += 1.0;
-                let work = answer.work.map(|w| w.secs()).or(held.work).unwrap_or(0.0);
-                let goal = group.goal + Span::from_secs(group.goal_stretch * work / self.threads[g]);
                 if answer.took > goal {
                     tick.late += 1.0;
                 }
@@ -501,11 +515,12 @@
             Outcome::Full | Outcome::TimedOut => tick.jammed = true,
             _ => {}
         }
-        let bad = matches!(
-            answer.outcome,
-            Outcome::ConnectFailed | Outcome::Reset | Outcome::Errored | Outcome::TimedOut
-        );
-        if !matches!(answer.outcome, Outcome::Moot | Outcome::CalledOff | Outcome::Full) {
+        // A time-out at an engine that answered others meanwhile is load, which the budgets answer.
+        let silent = answer.outcome == Outcome::TimedOut && engine.heard <= out.sent;
+        let bad =
+            silent || matches!(answer.outcome, Outcome::ConnectFailed | Outcome::Reset | Outcome::Errored);
+        let load = answer.outcome == Outcome::TimedOut && !silent;
+        if !load && !matches!(answer.outcome, Outcome::Moot | Outcome::CalledOff | Outcome::Full) {
             if answer.outcome != Outcome::TimedOut {
                 engine.heard = now;
             }
@@ -556,8 +571,15 @@
         let mut probes = Vec::new();
         let (mut ready, mut congested) = (0.0, 0.0);
         let mut missed = vec![0usize; self.engines.len()];
-        if let Some(every) = self.caps.notes_every {
-            for out in self.batches.iter().flatten().flat_map(|h| &h.out) {
+        let mut overdue = vec![(0.0, 0.0); self.engines.len()];
+        for held in self.batches.iter().flatten() {
+            let g = held.batch.group;
+            let goal = self.goal(g, held.work);
+            for out in &held.out {
+                let (late, all) = &mut overdue[out.engine];
+                *all += self.threads[g];
+                *late += if now.since(out.sent) > goal { self.threads[g] } else { 0.0 };
+                let Some(every) = self.caps.notes_every else { continue };
                 let heard = self.engines[out.engine].as_ref().map_or(now, |e| e.heard).max(out.heard);
                 if !out.called_off && now.since(heard) > every * NOTE_SLACK {
                     missed[out.engine] += 1;
@@ -566,7 +588,7 @@
         }
         for (e, slot) in self.engines.iter_mut().enumerate() {
             let Some(engine) = slot else { continue };
-            engine.budgets.tick(&self.ranks, &self.threads);
+            engine.budgets.tick(&self.ranks, &self.threads, overdue[e].0, overdue[e].1);
             // Silence: notes are due from what is out and nothing at all has come from the engine.
             for _ in 0..missed[e].min(2) {
                 if engine.health.failing_since.is_none() && engine.health.see(true, now) {
@@ -603,6 +625,12 @@
         std::mem::take(&mut self.log)
     }
 
+    /// When an answer is late: the group's response goal, stretched by the work.
+    fn goal(&self, g: usize, work: Option<f64>) -> Span {
+        let group = &self.groups[g];
+        group.goal + Span::from_secs(group.goal_stretch * work.unwrap_or(0.0) / self.threads[g])
+    }
+
     /// The ready engine with most free budget of the batch's group, of those that the rules leave open.
     fn choose(&mut self, now: At, b: usize) -> Option<usize> {
         let held = self.batches[b].as_ref()?;
