An engine holding more than it bore on time reads congested at once

Cause: lateness shows a goal after the flood. Guards against any overload whose lateness comes after its cause; may hurt where a front's share is far from even and it must learn its way up.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,8 @@
     budget: Vec<f64>,
     running: Vec<f64>,
     ceiling: f64,
+    /// Threads of all groups together that this front has seen the engine bear.
+    bears: f64,
     congested: bool,
     // What this tick has shown so far.
     answers: f64,
@@ -51,7 +53,8 @@
         let ceiling = (cores * THREADS_A_CORE).max(1.0);
         let budget = thread_shares.iter().map(|s| ceiling / fronts.max(1) as f64 * s).collect();
         let running = vec![0.0; thread_shares.len()];
-        Budgets { budget, running, ceiling, congested: false, answers: 0.0, late: 0.0, jammed: false }
+        let bears = ceiling / fronts.max(1) as f64;
+        Budgets { budget, running, ceiling, bears, congested: false, answers: 0.0, late: 0.0, jammed: false }
     }
 
     fn free(&self, group: usize) -> f64 {
@@ -60,21 +63,35 @@
 
     /// Budgets bind only while the last tick read congested.
     fn has_room(&self, group: usize, threads: f64) -> bool {
-        !self.congested || self.free(group) >= threads
+        !(self.congested || self.is_full()) || self.free(group) >= threads
+    }
+
+    /// Lateness shows only after a response goal, by when an engine that takes all overflow is stuffed. So it also
+    /// reads congested while more is out there than it has borne on time.
+    fn is_full(&self) -> bool {
+        self.running.iter().sum::<f64>() >= self.bears
     }
 
     /// What is out past its goal reads as late before it answers: a stuffed engine answers nothing at all.
     fn tick(&mut self, ranks: &[usize], threads: &[f64], overdue: f64, out: f64) {
         let was = self.congested;
-        self.congested =
-            self.jammed || self.late > self.answers * LATE_SHARE || overdue > out * OVERDUE_SHARE;
+        let late = self.jammed || self.late > self.answers * LATE_SHARE || overdue > out * OVERDUE_SHARE;
+        let step = TICK.secs();
+        let full = self.is_full();
+        let most = threads.iter().copied().fold(1.0, f64::max);
+        if late {
+            self.bears = (self.bears * RANKS[0].1.powf(step)).max(most);
+        } else if full && self.answers > 0.0 {
+            self.bears = (self.bears + RANKS[0].0 * step).min(self.ceiling);
+        }
+        // A tick that heard nothing while something is out has read nothing.
+        self.congested = late || full || (was && self.answers == 0.0 && out > 0.0);
         for (g, budget) in self.budget.iter_mut().enumerate() {
             let (add, factor, _) = RANKS[ranks[g]];
             if self.congested && !was {
                 // Room that was never used says nothing of what the engine bears.
                 *budget = budget.min(self.running[g]);
             }
-            let step = TICK.secs();
             *budget = if self.congested { *budget * factor.powf(step) } else { *budget + add * step };
             *budget = budget.min(self.ceiling.max(threads[g])).max(threads[g]);
         }
