Call off repeatable dispatches whose noted pace has gone far astray

A pace 4 times the group's usual stretch of its estimate is called off and goes again, or is pushed back in overload. Also meets slow engines and deep spills; may hurt where estimates scatter more than fourfold.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,6 +32,8 @@
 const NOTE_SLACK: f64 = 1.6;
 // Of the cold rule's budget, what this front spends: estimates of work scatter, and fronts know of a start at other times.
 const COLD_SPEND: f64 = 0.7;
+// A dispatch whose pace makes it this many times longer than its group's usual stretch of its estimate has gone wrong.
+const ASTRAY: f64 = 4.0;
 const OVERLOAD_SHARE: f64 = 0.5;
 
 /// Budgets of running threads of one engine, one a service group.
@@ -232,6 +234,8 @@
     lean: f64,
     told: Option<f64>,
     count: f64,
+    /// Time taken over the estimated time, as it mostly is lately.
+    stretch: f64,
 }
 
 impl Usual {
@@ -252,6 +256,11 @@
         self.hinted += (hint.secs() - self.hinted) / self.count;
     }
 
+    fn time(&mut self, took: Span, work: f64, threads: f64) {
+        let ratio = (took.secs() * threads / work.max(0.001)).clamp(0.5, 20.0);
+        self.stretch *= (ratio / self.stretch).powf(0.03);
+    }
+
     /// Where answers tell the work it is learnt as told. Elsewhere the lean follows a low quantile of time times
     /// threads over the hint: an answer is never faster than its work, and most wait a little.
     fn learn(&mut self, hint: Option<Span>, told: Option<Span>, took: Span, threads: f64) {
@@ -284,6 +293,8 @@
     heard: At,
     priority: u8,
     called_off: bool,
+    /// Whole time that its pace foretells, once a note told its share.
+    foretold: Option<Span>,
 }
 
 struct Held {
@@ -378,7 +389,7 @@
         let threads: Vec<f64> = groups.iter().map(|g| g.threads.max(1.0)).collect();
         let usual = groups
             .iter()
-            .map(|_| Usual { hinted: 0.0, lean: 1.0, told: None, count: 0.0 })
+            .map(|_| Usual { hinted: 0.0, lean: 1.0, told: None, count: 0.0, stretch: 1.5 })
             .collect::<Vec<_>>();
         Policy {
             asked: threads.clone(),
@@ -527,6 +538,9 @@
                 if answer.took > goal {
                     tick.late += 1.0;
                 }
+                if let Some(work) = held.work {
+                    self.usual[g].time(answer.took, work, self.threads[g]);
+                }
                 self.usual[g].learn(held.batch.work, answer.work, answer.took, self.threads[g]);
             }
             Outcome::Full | Outcome::TimedOut => tick.jammed = true,
@@ -564,10 +578,13 @@
         self.end(now, b);
     }
 
-    pub fn note(&mut self, now: At, b: usize, number: u8, _note: Note) {
+    pub fn note(&mut self, now: At, b: usize, number: u8, note: Note) {
         let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) else { return };
         let Some(out) = held.out.iter_mut().find(|o| o.number == number) else { return };
         out.heard = now;
+        if let Note::Done(share) = note {
+            out.foretold = (share > 0.0).then(|| now.since(out.sent) * (1.0 / share.min(1.0)));
+        }
         if let Some(engine) = self.engines[out.engine].as_mut() {
             engine.heard = now;
         }
@@ -725,7 +742,15 @@
         }
         let priority = RANKS[self.ranks[g]].2;
         let number = held.dispatches as u8;
-        held.out.push(Out { number, engine: e, sent: now, heard: now, priority, called_off: false });
+        held.out.push(Out {
+            number,
+            engine: e,
+            sent: now,
+            heard: now,
+            priority,
+            called_off: false,
+            foretold: None,
+        });
         held.dispatches += 1;
         held.last_engine = Some(e);
         // Ends before the time limit, so that the answer it still calls for is in time.
@@ -734,21 +759,21 @@
         Place::Send(Dispatch { engine: e, time_out, memory_mb: None, priority })
     }
 
-    /// A batch that is out: call it off where its engine went silent and it may go elsewhere.
+    /// A batch that is out is called off where its engine went silent, or where its pace is far from its group's: a
+    /// bad plan, a slow engine or a spill all look so, and a fresh dispatch, or none, costs less than the rest of it.
     fn look_at_out(&mut self, now: At, b: usize) -> Place {
         let Some(held) = self.batches[b].as_mut() else { return Place::NotYet };
-        let group = &self.groups[held.batch.group];
-        let further = held.dispatches <= MOST_FURTHER && held.dispatches < self.caps.most_dispatches;
-        if group.effect != Effect::Repeatable || !further || self.overloaded || !self.caps.call_off {
-            return Place::NotYet;
-        }
-        if !self.ration.allows(now) {
+        let g = held.batch.group;
+        if self.groups[g].effect != Effect::Repeatable || !self.caps.call_off {
             return Place::NotYet;
         }
+        let usual = held.work.map(|w| Span::from_secs(w / self.threads[g] * self.usual[g].stretch * ASTRAY));
+        let goal = self.groups[g].goal;
         for out in held.out.iter_mut().filter(|o| !o.called_off) {
             let failing = self.engines[out.engine].as_ref().is_some_and(|e| e.health.failing_since.is_some());
             let silent = self.caps.notes_every.is_some_and(|n| now.since(out.heard) > n * NOTE_SLACK);
-            if failing && silent {
+            let astray = usual.zip(out.foretold).is_some_and(|(u, f)| f > u && f > goal);
+            if (failing && silent) || astray {
                 out.called_off = true;
                 return Place::CallOff(out.number);
             }
