--- a/src/policy.rs
+++ b/src/policy.rs
@@ -94,7 +94,12 @@
                 // Room that was never used says nothing of what the engine bears.
                 *budget = budget.min(self.running[g]);
             }
-            *budget = if self.congested { *budget * factor.powf(step) } else { *budget + add * step };
+            // Fullness alone shows no overload: it binds where it stands, and only lateness cuts.
+            *budget = match (late, self.congested) {
+                (true, _) => *budget * factor.powf(step),
+                (false, true) => *budget,
+                _ => *budget + add * step,
+            };
             *budget = budget.min(self.ceiling.max(threads[g])).max(threads[g]);
         }
         (self.answers, self.late, self.jammed) = (0.0, 0.0, false);
