--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -14,6 +14,7 @@
     classes: Vec<RawGroup>,
     domain: RawDomain,
     instances: usize,
+    me: usize,
     models: Vec<String>,
     parties: Vec<RawCustomer>,
     period: u64,
@@ -145,6 +146,7 @@
     Ok(Settings {
         fleet: Fleet {
             fronts: raw.instances.max(1),
+            me: raw.me,
             zone: raw.az,
             kinds: (0..kinds)
                 .map(|i| Kind {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -8,6 +8,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     pub fronts: usize,
+    /// This front's number among them.
+    pub me: usize,
     pub zone: usize,
     pub kinds: Vec<Kind>,
     /// Whether engines report their load with every answer, or only to probes.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,6 +34,8 @@
 const COLD_SPEND: f64 = 0.7;
 // A dispatch whose pace makes it this many times longer than its group's usual stretch of its estimate has gone wrong.
 const ASTRAY: f64 = 4.0;
+// The least of its first bound that a front goes down to: one thread in three that an engine should bear.
+const LEAST_BORNE: f64 = 0.33;
 const OVERLOAD_SHARE: f64 = 0.5;
 
 /// Budgets of running threads of one engine, one a service group.
@@ -43,6 +45,7 @@
     ceiling: f64,
     /// Threads of all groups together that this front has seen the engine bear.
     bears: f64,
+    least: f64,
     congested: bool,
     // What this tick has shown so far.
     answers: f64,
@@ -56,7 +59,17 @@
         let budget = thread_shares.iter().map(|s| ceiling / fronts.max(1) as f64 * s).collect();
         let running = vec![0.0; thread_shares.len()];
         let bears = ceiling / fronts.max(1) as f64;
-        Budgets { budget, running, ceiling, bears, congested: false, answers: 0.0, late: 0.0, jammed: false }
+        Budgets {
+            budget,
+            running,
+            ceiling,
+            bears,
+            least: bears * LEAST_BORNE,
+            congested: false,
+            answers: 0.0,
+            late: 0.0,
+            jammed: false,
+        }
     }
 
     fn free(&self, group: usize) -> f64 {
@@ -75,14 +88,13 @@
     }
 
     /// What is out past its goal reads as late before it answers: a stuffed engine answers nothing at all.
-    fn tick(&mut self, ranks: &[usize], threads: &[f64], overdue: f64, out: f64) {
+    fn tick(&mut self, ranks: &[usize], threads: &[f64], overdue: f64, out: f64, keeps_floor: bool) {
         let was = self.congested;
         let late = self.jammed || self.late > self.answers * LATE_SHARE || overdue > out * OVERDUE_SHARE;
         let step = TICK.secs();
         let full = self.is_full();
-        let most = threads.iter().copied().fold(1.0, f64::max);
         if late {
-            self.bears = (self.bears * RANKS[0].1.powf(step)).max(most);
+            self.bears = (self.bears * RANKS[0].1.powf(step)).max(self.least);
         } else if full && self.answers > 0.0 {
             self.bears = (self.bears + RANKS[0].0 * step).min(self.ceiling);
         }
@@ -100,7 +112,8 @@
                 (false, true) => *budget,
                 _ => *budget + add * step,
             };
-            *budget = budget.min(self.ceiling.max(threads[g])).max(threads[g]);
+            let floor = if keeps_floor { threads[g] } else { 0.0 };
+            *budget = budget.min(self.ceiling.max(threads[g])).max(floor);
         }
         (self.answers, self.late, self.jammed) = (0.0, 0.0, false);
     }
@@ -608,6 +621,7 @@
     /// The periodic work; answers which engines to probe.
     pub fn tick(&mut self, now: At) -> Vec<usize> {
         let mut probes = Vec::new();
+        let floors: f64 = self.threads.iter().sum();
         let (mut ready, mut congested) = (0.0, 0.0);
         let mut missed = vec![0usize; self.engines.len()];
         let mut overdue = vec![(0.0, 0.0); self.engines.len()];
@@ -627,7 +641,11 @@
         }
         for (e, slot) in self.engines.iter_mut().enumerate() {
             let Some(engine) = slot else { continue };
-            engine.budgets.tick(&self.ranks, &self.threads, overdue[e].0, overdue[e].1);
+            let cores = self.fleet.kinds.get(engine.told.kind).map_or(1.0, |k| k.cores.max(1.0));
+            // Floors of many fronts add up to a jam: then each keeps its floors at every so manieth engine only.
+            let crowd = floors * self.fleet.fronts as f64 / (cores * THREADS_A_CORE);
+            let keeps = (e + self.fleet.me) % (crowd.ceil().max(1.0) as usize) == 0;
+            engine.budgets.tick(&self.ranks, &self.threads, overdue[e].0, overdue[e].1, keeps);
             // Silence: notes are due from what is out and nothing at all has come from the engine.
             for _ in 0..missed[e].min(2) {
                 if engine.health.failing_since.is_none() && engine.health.see(true, now) {
