--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,6 +36,12 @@
 const ASTRAY: f64 = 4.0;
 // The least of its first bound that a front goes down to: one thread in three that an engine should bear.
 const LEAST_BORNE: f64 = 0.33;
+// Memory over the estimate at first, and the steps after a spill and after none: they meet at one spill in eight.
+const GRANT_FIRST: f64 = 1.25;
+const GRANT_STEPS: (f64, f64) = (1.07, 0.99);
+const GRANT_BOUNDS: (f64, f64) = (0.3, 5.0);
+// Spills at an engine with more than this share of its memory granted tell of other batches, not of the estimate.
+const MEMORY_TELLS: f64 = 0.8;
 const OVERLOAD_SHARE: f64 = 0.5;
 
 /// Budgets of running threads of one engine, one a service group.
@@ -254,6 +260,8 @@
     count: f64,
     /// Time taken over the estimated time, as it mostly is lately.
     stretch: f64,
+    /// Memory granted over the estimate, so that few spill.
+    grant: f64,
 }
 
 impl Usual {
@@ -274,6 +282,11 @@
         self.hinted += (hint.secs() - self.hinted) / self.count;
     }
 
+    fn spilled(&mut self, yes: bool) {
+        self.grant *= if yes { GRANT_STEPS.0 } else { GRANT_STEPS.1 };
+        self.grant = self.grant.clamp(GRANT_BOUNDS.0, GRANT_BOUNDS.1);
+    }
+
     fn time(&mut self, took: Span, work: f64, threads: f64) {
         let ratio = (took.secs() * threads / work.max(0.001)).clamp(0.5, 20.0);
         self.stretch *= (ratio / self.stretch).powf(0.03);
@@ -302,6 +315,7 @@
     cold: Cold,
     health: Health,
     heard: At,
+    memory_out: f64,
 }
 
 struct Out {
@@ -309,10 +323,13 @@
     engine: usize,
     sent: At,
     heard: At,
-    priority: u8,
     called_off: bool,
     /// Whole time that its pace foretells, once a note told its share.
     foretold: Option<Span>,
+    memory_mb: Option<f64>,
+    spilled: bool,
+    /// Its engine had memory to spare when it was sent.
+    tells_memory: bool,
 }
 
 struct Held {
@@ -407,7 +424,14 @@
         let threads: Vec<f64> = groups.iter().map(|g| g.threads.max(1.0)).collect();
         let usual = groups
             .iter()
-            .map(|_| Usual { hinted: 0.0, lean: 1.0, told: None, count: 0.0, stretch: 1.5 })
+            .map(|_| Usual {
+                hinted: 0.0,
+                lean: 1.0,
+                told: None,
+                count: 0.0,
+                stretch: 1.5,
+                grant: GRANT_FIRST,
+            })
             .collect::<Vec<_>>();
         Policy {
             asked: threads.clone(),
@@ -453,6 +477,7 @@
             cold: Cold::default(),
             health: Health::default(),
             heard: now,
+            memory_out: 0.0,
         });
     }
 
@@ -549,6 +574,11 @@
         }
         let Some(engine) = self.engines[out.engine].as_mut() else { return Next::Over };
         engine.budgets.running[g] = (engine.budgets.running[g] - self.threads[g]).max(0.0);
+        engine.memory_out = (engine.memory_out - out.memory_mb.unwrap_or(0.0)).max(0.0);
+        if out.tells_memory && out.memory_mb.is_some() && (out.spilled || answer.outcome == Outcome::Returned)
+        {
+            self.usual[g].spilled(out.spilled);
+        }
         let tick = &mut engine.budgets;
         match answer.outcome {
             Outcome::Returned => {
@@ -600,8 +630,12 @@
         let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) else { return };
         let Some(out) = held.out.iter_mut().find(|o| o.number == number) else { return };
         out.heard = now;
-        if let Note::Done(share) = note {
-            out.foretold = (share > 0.0).then(|| now.since(out.sent) * (1.0 / share.min(1.0)));
+        match note {
+            Note::Done(share) if share > 0.0 => {
+                out.foretold = Some(now.since(out.sent) * (1.0 / share.min(1.0)))
+            }
+            Note::SpillsMb(_) => out.spilled = true,
+            _ => {}
         }
         if let Some(engine) = self.engines[out.engine].as_mut() {
             engine.heard = now;
@@ -765,21 +799,27 @@
         }
         let priority = RANKS[self.ranks[g]].2;
         let number = held.dispatches as u8;
+        let estimate = held.batch.memory_mb.filter(|_| self.caps.sets_memory);
+        let memory_mb = estimate.map(|m| m * self.usual[g].grant);
+        let size = self.fleet.kinds.get(engine.told.kind).map_or(0.0, |k| k.memory_mb);
+        engine.memory_out += memory_mb.unwrap_or(0.0);
         held.out.push(Out {
             number,
             engine: e,
             sent: now,
             heard: now,
-            priority,
             called_off: false,
             foretold: None,
+            memory_mb,
+            spilled: false,
+            tells_memory: engine.memory_out * self.fleet.fronts as f64 <= size * MEMORY_TELLS,
         });
         held.dispatches += 1;
         held.last_engine = Some(e);
         // Ends before the time limit, so that the answer it still calls for is in time.
         let step = self.caps.clock_step;
         let time_out = held.batch.time_limit.since(now + step + step);
-        Place::Send(Dispatch { engine: e, time_out, memory_mb: None, priority })
+        Place::Send(Dispatch { engine: e, time_out, memory_mb, priority })
     }
 
     /// A batch that is out is called off where its engine went silent, or where its pace is far from its group's: a
