Standing still behind a holder of a data set is no overload, and is avoided

Symptom: engines a fifth busy read congested and pushed back. Such dispatches leave the signal, and engines where the set is known held come last. Should hold against any lock inside an engine that notes tell of; may hurt where a holder's engine is the only one with room.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -316,6 +316,20 @@
     health: Health,
     heard: At,
     memory_out: f64,
+    held: BTreeMap<u32, HeldSet>,
+}
+
+/// A data set that stands still on an engine: by how many of this front's own, and till when by what notes told.
+#[derive(Clone, Copy, Default)]
+struct HeldSet {
+    own: usize,
+    noted_till: At,
+}
+
+impl EngineNow {
+    fn holds(&self, set: u32, now: At) -> bool {
+        self.held.get(&set).is_some_and(|h| h.own > 0 || h.noted_till > now)
+    }
 }
 
 struct Out {
@@ -328,6 +342,8 @@
     foretold: Option<Span>,
     memory_mb: Option<f64>,
     spilled: bool,
+    /// It stood still behind a holder of its data set: that is no overload.
+    stood: bool,
     /// Its engine had memory to spare when it was sent.
     tells_memory: bool,
 }
@@ -478,6 +494,7 @@
             health: Health::default(),
             heard: now,
             memory_out: 0.0,
+            held: BTreeMap::new(),
         });
     }
 
@@ -575,6 +592,11 @@
         let Some(engine) = self.engines[out.engine].as_mut() else { return Next::Over };
         engine.budgets.running[g] = (engine.budgets.running[g] - self.threads[g]).max(0.0);
         engine.memory_out = (engine.memory_out - out.memory_mb.unwrap_or(0.0)).max(0.0);
+        if group.holds_data {
+            let set = engine.held.entry(held.batch.data_set).or_default();
+            set.own = set.own.saturating_sub(1);
+        }
+        engine.held.retain(|_, h| h.own > 0 || h.noted_till > now);
         if out.tells_memory && out.memory_mb.is_some() && (out.spilled || answer.outcome == Outcome::Returned)
         {
             self.usual[g].spilled(out.spilled);
@@ -583,7 +605,7 @@
         match answer.outcome {
             Outcome::Returned => {
                 tick.answers += 1.0;
-                if answer.took > goal {
+                if answer.took > goal && !out.stood {
                     tick.late += 1.0;
                 }
                 if let Some(work) = held.work {
@@ -635,6 +657,14 @@
                 out.foretold = Some(now.since(out.sent) * (1.0 / share.min(1.0)))
             }
             Note::SpillsMb(_) => out.spilled = true,
+            Note::WaitsForHolder => {
+                out.stood = true;
+                if let (Some(engine), Some(every)) =
+                    (self.engines[out.engine].as_mut(), self.caps.notes_every)
+                {
+                    engine.held.entry(held.batch.data_set).or_default().noted_till = now + every;
+                }
+            }
             _ => {}
         }
         if let Some(engine) = self.engines[out.engine].as_mut() {
@@ -665,7 +695,7 @@
             for out in &held.out {
                 let (late, all) = &mut overdue[out.engine];
                 *all += self.threads[g];
-                *late += if now.since(out.sent) > goal { self.threads[g] } else { 0.0 };
+                *late += if now.since(out.sent) > goal && !out.stood { self.threads[g] } else { 0.0 };
                 let Some(every) = self.caps.notes_every else { continue };
                 let heard = self.engines[out.engine].as_ref().map_or(now, |e| e.heard).max(out.heard);
                 if !out.called_off && now.since(heard) > every * NOTE_SLACK {
@@ -755,7 +785,11 @@
                 && now >= health.trial_at;
             let sound = health.failing_since.is_none() || trial;
             any_sound |= sound;
-            let free = engine.budgets.free(g) - if held.last_engine == Some(e) { 1e6 } else { 0.0 };
+            // Behind a holder it would stand still whatever its budget: such an engine comes last.
+            let stands =
+                (group.waits_for_holder || group.holds_data) && engine.holds(held.batch.data_set, now);
+            let last = held.last_engine == Some(e) || stands;
+            let free = engine.budgets.free(g) - if last { 1e6 } else { 0.0 };
             open.push((e, free, sound));
         }
         if !any_ready {
@@ -803,6 +837,7 @@
         let memory_mb = estimate.map(|m| m * self.usual[g].grant);
         let size = self.fleet.kinds.get(engine.told.kind).map_or(0.0, |k| k.memory_mb);
         engine.memory_out += memory_mb.unwrap_or(0.0);
+        let (group, set) = (&self.groups[g], held.batch.data_set);
         held.out.push(Out {
             number,
             engine: e,
@@ -812,11 +847,15 @@
             foretold: None,
             memory_mb,
             spilled: false,
+            stood: group.waits_for_holder && engine.holds(set, now),
             tells_memory: engine.memory_out * self.fleet.fronts as f64 <= size * MEMORY_TELLS,
         });
         held.dispatches += 1;
         held.last_engine = Some(e);
         // Ends before the time limit, so that the answer it still calls for is in time.
+        if group.holds_data {
+            engine.held.entry(set).or_default().own += 1;
+        }
         let step = self.caps.clock_step;
         let time_out = held.batch.time_limit.since(now + step + step);
         Place::Send(Dispatch { engine: e, time_out, memory_mb, priority })
