--- a/adapter/src/front.rs
+++ b/adapter/src/front.rs
@@ -100,11 +100,6 @@
         }
     }
 
-    pub fn engine(&self, address: [u8; 6]) -> Result<usize, String> {
-        let unknown = || format!("front {}: engine {address:?} is on no list it had", self.who);
-        self.engine_ix.get(&address).copied().ok_or_else(unknown)
-    }
-
     pub fn take(&mut self, now: At, id: u32, batch: Batch, reply: &mut Reply) -> Result<(), String> {
         if batch.group >= self.groups {
             return Err(format!("front {}, id {id}: no service group {}", self.who, batch.group));
@@ -154,15 +149,9 @@
         }
     }
 
-    pub fn probed(&mut self, now: At, e: usize, outcome: Outcome, report: Report) {
-        self.policy.probed(now, e, outcome, report);
-    }
-
     pub fn timer(&mut self, now: At, tag: u64, reply: &mut Reply) {
         if tag == TICK_TAG {
-            for e in self.policy.tick(now) {
-                reply.ping(self.who, self.engines[e]);
-            }
+            self.policy.tick(now);
             self.next_tick(now, reply);
             return;
         }
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -138,12 +138,6 @@
             }
             60 => front.client_left(now, r.u32()?),
             70 => front.timer(now, r.u64()?, reply),
-            80 => {
-                let address = r.address()?;
-                let (code, _rtt) = (r.u8()?, r.u32()?);
-                let report = front.report(&values(&mut r)?);
-                front.probed(now, front.engine(address)?, outcome(code)?, report);
-            }
             110 => {
                 let id = r.u32()?;
                 let (number, _engine, what, level) = (r.u8()?, r.address()?, r.u8()?, r.f32()?);
@@ -156,7 +150,7 @@
                 };
                 front.note(now, id, number, note);
             }
-            // Streams and peers: no service group here streams, and fronts share nothing.
+            // Streams, probe results and peers: no service group streams, no probe is sent, fronts share nothing.
             _ => {}
         }
         Ok(Some(who))
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -82,9 +82,6 @@
     pub fn abort(&mut self, who: u32, id: u32) {
         self.record(80, who, &[&id.to_le_bytes()]);
     }
-    pub fn ping(&mut self, who: u32, engine: [u8; 6]) {
-        self.record(90, who, &[&engine]);
-    }
     pub fn watch(&mut self, who: u32) {
         self.record(100, who, &[&[1]]);
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,6 +26,8 @@
 const SOUND_BAD: f64 = 0.05;
 const FAILING_BAD: f64 = 0.5;
 const EVIDENCE: f64 = 4.0;
+// A failing engine is cleared when its trials have taken the evidence down to this share.
+const CLEARED: f64 = 0.5;
 const TRIAL_FIRST: Span = Span::from_millis(1000);
 const TRIAL_MOST: Span = Span::from_millis(8000);
 // A dispatch should have brought a note by this many periods of notes.
@@ -218,37 +220,37 @@
 }
 
 /// The sequential test on an engine's outcomes: evidence for a failing one adds up, sound outcomes take it down.
-/// A failing engine gets a trial now and then; one good outcome or a new start clears it.
+/// A failing engine gets a trial now and then; good ones or a new start clear it.
 #[derive(Default)]
 struct Health {
     evidence: f64,
-    failing_since: Option<At>,
+    failing: bool,
     trial_at: At,
     trial_gap: Span,
     on_trial: bool,
 }
 
 impl Health {
+    /// One outcome; true when the verdict changes. A failing engine comes back by the same test, over trial batches
+    /// one after the other: a single good answer would bring back one that errors on every other batch.
     fn see(&mut self, bad: bool, now: At) -> bool {
         let step =
             if bad { (FAILING_BAD / SOUND_BAD).ln() } else { ((1.0 - FAILING_BAD) / (1.0 - SOUND_BAD)).ln() };
-        self.evidence = (self.evidence + step).max(0.0);
-        if self.failing_since.is_some() {
-            self.on_trial = false;
-            if bad {
-                self.trial_gap = (self.trial_gap * 2.0).min(TRIAL_MOST);
-                self.trial_at = now + self.trial_gap;
-            } else {
-                *self = Health::default();
-                return true;
-            }
-        } else if self.evidence >= EVIDENCE {
-            self.failing_since = Some(now);
-            self.trial_gap = TRIAL_FIRST;
-            self.trial_at = now + TRIAL_FIRST;
-            return true;
-        }
-        false
+        self.evidence = (self.evidence + step).clamp(0.0, EVIDENCE);
+        if !self.failing {
+            self.failing = self.evidence >= EVIDENCE;
+            (self.trial_gap, self.trial_at) = (TRIAL_FIRST, now + TRIAL_FIRST);
+            return self.failing;
+        }
+        self.on_trial = false;
+        if bad {
+            self.trial_gap = (self.trial_gap * 2.0).min(TRIAL_MOST);
+            self.trial_at = now + self.trial_gap;
+        } else {
+            self.trial_at = now;
+        }
+        self.failing = self.evidence > EVIDENCE * CLEARED;
+        !self.failing
     }
 }
 
@@ -672,19 +674,8 @@
         }
     }
 
-    pub fn probed(&mut self, now: At, e: usize, outcome: Outcome, _report: Report) {
-        let Some(Some(engine)) = self.engines.get_mut(e) else { return };
-        if outcome == Outcome::Returned {
-            engine.heard = now;
-        }
-        if engine.health.see(outcome != Outcome::Returned, now) {
-            self.log.push(format!("engine {e} after a probe: {outcome:?}"));
-        }
-    }
-
-    /// The periodic work; answers which engines to probe.
-    pub fn tick(&mut self, now: At) -> Vec<usize> {
-        let mut probes = Vec::new();
+    /// The periodic work.
+    pub fn tick(&mut self, now: At) {
         let floors: f64 = self.threads.iter().sum();
         let (mut ready, mut congested) = (0.0, 0.0);
         let mut missed = vec![0usize; self.engines.len()];
@@ -712,7 +703,7 @@
             engine.budgets.tick(&self.ranks, &self.threads, overdue[e].0, overdue[e].1, keeps);
             // Silence: notes are due from what is out and nothing at all has come from the engine.
             for _ in 0..missed[e].min(2) {
-                if engine.health.failing_since.is_none() && engine.health.see(true, now) {
+                if !engine.health.failing && engine.health.see(true, now) {
                     self.log.push(format!("engine {e} failing: silent"));
                 }
             }
@@ -721,11 +712,6 @@
             }
             ready += 1.0;
             congested += f64::from(u8::from(engine.budgets.congested));
-            let health = &mut engine.health;
-            if self.caps.probes && health.failing_since.is_some() && now >= health.trial_at {
-                health.trial_at = now + health.trial_gap;
-                probes.push(e);
-            }
         }
         let overloaded = ready > 0.0 && congested >= ready * OVERLOAD_SHARE;
         if overloaded != self.overloaded {
@@ -735,7 +721,6 @@
                 if overloaded { "on" } else { "off" }
             ));
         }
-        probes
     }
 
     pub fn tick_every(&self) -> Span {
@@ -778,12 +763,10 @@
             }
             any_ready = true;
             let health = &engine.health;
-            // A trial batch is one that may run again; where probes are allowed they do the trying.
-            let trial = group.effect == Effect::Repeatable
-                && !self.caps.probes
-                && !health.on_trial
-                && now >= health.trial_at;
-            let sound = health.failing_since.is_none() || trial;
+            // A trial batch is one that may run again. No probe clears an engine: one that answers probes may error.
+            let repeatable = group.effect == Effect::Repeatable;
+            let trial = repeatable && health.failing && !health.on_trial && now >= health.trial_at;
+            let sound = !health.failing || trial;
             any_sound |= sound;
             // Behind a holder it would stand still whatever its budget: such an engine comes last.
             let stands =
@@ -824,7 +807,7 @@
         if held.dispatches > 0 {
             self.ration.count_further(now);
         }
-        if engine.health.failing_since.is_some() {
+        if engine.health.failing {
             engine.health.on_trial = true;
         }
         engine.budgets.running[g] += self.threads[g];
@@ -872,7 +855,7 @@
         let usual = held.work.map(|w| Span::from_secs(w / self.threads[g] * self.usual[g].stretch * ASTRAY));
         let goal = self.groups[g].goal;
         for out in held.out.iter_mut().filter(|o| !o.called_off) {
-            let failing = self.engines[out.engine].as_ref().is_some_and(|e| e.health.failing_since.is_some());
+            let failing = self.engines[out.engine].as_ref().is_some_and(|e| e.health.failing);
             let silent = self.caps.notes_every.is_some_and(|n| now.since(out.heard) > n * NOTE_SLACK);
             let astray = usual.zip(out.foretold).is_some_and(|(u, f)| f > u && f > goal);
             if (failing && silent) || astray {
