--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,6 +54,8 @@
     /// Threads of all groups together that this front has seen the engine bear.
     bears: f64,
     least: f64,
+    /// This front's share of the fronts: steps of all of them add up at the engine.
+    share: f64,
     congested: bool,
     // What this tick has shown so far.
     answers: f64,
@@ -73,6 +75,7 @@
             ceiling,
             bears,
             least: bears * LEAST_BORNE,
+            share: 1.0 / fronts.max(1) as f64,
             congested: false,
             answers: 0.0,
             late: 0.0,
@@ -104,7 +107,7 @@
         if late {
             self.bears = (self.bears * RANKS[0].1.powf(step)).max(self.least);
         } else if full && self.answers > 0.0 {
-            self.bears = (self.bears + RANKS[0].0 * step).min(self.ceiling);
+            self.bears = (self.bears + RANKS[0].0 * step * self.share).min(self.ceiling);
         }
         // A tick that heard nothing while something is out has read nothing.
         self.congested = late || full || (was && self.answers == 0.0 && out > 0.0);
