--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,6 +37,8 @@
 // A dispatch whose pace makes it this many times longer than its group's usual stretch of its estimate has gone wrong.
 const ASTRAY: f64 = 4.0;
 // The least of its first bound that a front goes down to: one thread in three that an engine should bear.
+// Up to this share of the bound that last read late, more is surely borne.
+const SURE: f64 = 0.7;
 const LEAST_BORNE: f64 = 0.33;
 // Memory over the estimate at first, and the steps after a spill and after none: they meet at one spill in eight.
 const GRANT_FIRST: f64 = 1.25;
@@ -54,6 +56,9 @@
     /// Threads of all groups together that this front has seen the engine bear.
     bears: f64,
     least: f64,
+    /// The bound when it last began to read late.
+    late_from: f64,
+    was_late: bool,
     /// This front's share of the fronts: steps of all of them add up at the engine.
     share: f64,
     congested: bool,
@@ -75,6 +80,8 @@
             ceiling,
             bears,
             least: bears * LEAST_BORNE,
+            late_from: ceiling.min(bears * 2.0),
+            was_late: false,
             share: 1.0 / fronts.max(1) as f64,
             congested: false,
             answers: 0.0,
@@ -100,15 +107,19 @@
 
     /// What is out past its goal reads as late before it answers: a stuffed engine answers nothing at all.
     fn tick(&mut self, ranks: &[usize], threads: &[f64], overdue: f64, out: f64, keeps_floor: bool) {
-        let was = self.congested;
+        let (was, was_late) = (self.congested, self.was_late);
         let late = self.jammed || self.late > self.answers * LATE_SHARE || overdue > out * OVERDUE_SHARE;
         let step = TICK.secs();
         let full = self.is_full();
         if late {
+            self.late_from = if was_late { self.late_from } else { self.bears };
             self.bears = (self.bears * RANKS[0].1.powf(step)).max(self.least);
         } else if full && self.answers > 0.0 {
-            self.bears = (self.bears + RANKS[0].0 * step * self.share).min(self.ceiling);
+            // Fast up to near where it was last late, then by this front's share.
+            let share = if self.bears < self.late_from * SURE { 1.0 } else { self.share };
+            self.bears = (self.bears + RANKS[0].0 * step * share).min(self.ceiling);
         }
+        self.was_late = late;
         // A tick that heard nothing while something is out has read nothing.
         self.congested = late || full || (was && self.answers == 0.0 && out > 0.0);
         for (g, budget) in self.budget.iter_mut().enumerate() {
