--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,10 @@
 // The least of its first bound that a front goes down to: one thread in three that an engine should bear.
 // Up to this share of the bound that last read late, more is surely borne.
 const SURE: f64 = 0.7;
+// Threads of free budget that a data set read there lately is worth, and an engine in this front's own zone.
+const WARM_WORTH: f64 = 2.0;
+const WARM_SETS: usize = 4;
+const ZONE_WORTH: f64 = 1.0;
 const LEAST_BORNE: f64 = 0.33;
 // Memory over the estimate at first, and the steps after a spill and after none: they meet at one spill in eight.
 const GRANT_FIRST: f64 = 1.25;
@@ -333,6 +337,8 @@
     heard: At,
     memory_out: f64,
     held: BTreeMap<u32, HeldSet>,
+    /// The data sets last sent there, the latest last.
+    warm: VecDeque<u32>,
 }
 
 /// A data set that stands still on an engine: by how many of this front's own, and till when by what notes told.
@@ -494,6 +500,7 @@
             if engine.told.started != told.started {
                 // Whatever was held against the process that ran there before says nothing of the new one.
                 engine.health = Health::default();
+                engine.warm.clear();
                 engine.budgets.congested = false;
                 engine.heard = now;
             }
@@ -511,6 +518,7 @@
             heard: now,
             memory_out: 0.0,
             held: BTreeMap::new(),
+            warm: VecDeque::new(),
         });
     }
 
@@ -786,7 +794,11 @@
             let stands =
                 (group.waits_for_holder || group.holds_data) && engine.holds(held.batch.data_set, now);
             let last = held.last_engine == Some(e) || stands;
-            let free = engine.budgets.free(g) - if last { 1e6 } else { 0.0 };
+            let warm_set = engine.warm.contains(&held.batch.data_set);
+            let free = engine.budgets.free(g)
+                + if warm_set { WARM_WORTH } else { 0.0 }
+                + if engine.told.zone == self.fleet.zone { ZONE_WORTH } else { 0.0 }
+                - if last { 1e6 } else { 0.0 };
             open.push((e, free, sound));
         }
         if !any_ready {
@@ -850,6 +862,11 @@
         held.dispatches += 1;
         held.last_engine = Some(e);
         // Ends before the time limit, so that the answer it still calls for is in time.
+        engine.warm.retain(|s| *s != set);
+        engine.warm.push_back(set);
+        if engine.warm.len() > WARM_SETS {
+            engine.warm.pop_front();
+        }
         if group.holds_data {
             engine.held.entry(set).or_default().own += 1;
         }
