Batches beyond a customer's share only get engines filled to 0.7 of their bound

Told from general load by the customer's batches against its allowance. Guards against any customer's surge; hurts where traffic is spread unevenly over fronts.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,6 +43,9 @@
 const WARM_WORTH: f64 = 2.0;
 const WARM_SETS: usize = 4;
 const ZONE_WORTH: f64 = 1.0;
+// A customer may run ahead of its share by this long; beyond it, batches get engines filled to less than this part.
+const SHARE_DEPTH: Span = Span::from_millis(2000);
+const BEYOND_SHARE_FILL: f64 = 0.7;
 const LEAST_BORNE: f64 = 0.33;
 // Memory over the estimate at first, and the steps after a spill and after none: they meet at one spill in eight.
 const GRANT_FIRST: f64 = 1.25;
@@ -99,14 +102,21 @@
     }
 
     /// Budgets bind only while the last tick read congested.
-    fn has_room(&self, group: usize, threads: f64) -> bool {
+    fn has_room(&self, group: usize, threads: f64, within_share: bool) -> bool {
+        if !within_share && (self.congested || self.fill() >= self.bears * BEYOND_SHARE_FILL) {
+            return false;
+        }
         !(self.congested || self.is_full()) || self.free(group) >= threads
     }
 
     /// Lateness shows only after a response goal, by when an engine that takes all overflow is stuffed. So it also
     /// reads congested while more is out there than it has borne on time.
     fn is_full(&self) -> bool {
-        self.running.iter().sum::<f64>() >= self.bears
+        self.fill() >= self.bears
+    }
+
+    fn fill(&self) -> f64 {
+        self.running.iter().sum()
     }
 
     /// What is out past its goal reads as late before it answers: a stuffed engine answers nothing at all.
@@ -209,6 +219,31 @@
     }
 }
 
+/// Customers' shares: a bucket each, filled at this front's even part of the allowance.
+struct Shares {
+    rates: Vec<f64>,
+    left: Vec<(f64, At)>,
+}
+
+impl Shares {
+    fn new(customers: &[Customer], fronts: usize) -> Shares {
+        let rates: Vec<f64> = customers.iter().map(|c| c.allowance / fronts.max(1) as f64).collect();
+        Shares { left: rates.iter().map(|r| (r * SHARE_DEPTH.secs(), At::default())).collect(), rates }
+    }
+
+    /// Whether this batch lies within its customer's share; it then uses some of it up.
+    fn within(&mut self, customer: Option<usize>, now: At) -> bool {
+        let Some(c) = customer.filter(|c| self.rates.get(*c).is_some_and(|r| *r > 0.0)) else { return true };
+        let (left, at) = &mut self.left[c];
+        *left = (*left + now.since(*at).secs() * self.rates[c])
+            .min((self.rates[c] * SHARE_DEPTH.secs()).max(1.0));
+        *at = now;
+        let within = *left >= 1.0;
+        *left -= f64::from(u8::from(within));
+        within
+    }
+}
+
 /// Rule 4: what this front sent a cold engine lately, as usual work, against its even share of what all may send.
 /// An even share holds however unevenly traffic is spread, since no front takes another's.
 #[derive(Default)]
@@ -373,7 +408,7 @@
 struct Held {
     batch: Batch,
     work: Option<f64>,
-    taken: At,
+    within_share: bool,
     out: Vec<Out>,
     dispatches: usize,
     last_engine: Option<usize>,
@@ -387,7 +422,7 @@
     groups: Vec<ServiceGroup>,
     ranks: Vec<usize>,
     threads: Vec<f64>,
-    customers: Vec<Customer>,
+    shares: Shares,
     caps: Caps,
     cold: ColdRule,
     ration: Ration,
@@ -471,13 +506,14 @@
                 grant: GRANT_FIRST,
             })
             .collect::<Vec<_>>();
+        let shares = Shares::new(&customers, fleet.fronts);
         Policy {
             asked: threads.clone(),
             fleet,
             ranks,
             threads,
             usual,
-            customers,
+            shares,
             caps,
             cold,
             ration: Ration { rule: ration, taken: VecDeque::new(), further: VecDeque::new() },
@@ -543,10 +579,11 @@
             self.keys.join(key, b);
         }
         let work = self.usual[g].work(batch.work);
+        let within_share = self.shares.within(batch.customer, now);
         let held = Held {
             batch,
             work,
-            taken: now,
+            within_share,
             out: Vec::new(),
             dispatches: 0,
             last_engine: None,
@@ -773,7 +810,7 @@
             let Some(engine) = slot else { continue };
             if engine.told.state != EngineState::Ready
                 || !in_place(group, &engine.told)
-                || !engine.budgets.has_room(g, self.threads[g])
+                || !engine.budgets.has_room(g, self.threads[g], held.within_share)
                 || !may_repeat(group.effect, first, &engine.told, now, self.caps.clock_step)
             {
                 continue;
