--- a/src/policy.rs
+++ b/src/policy.rs
@@ -672,7 +672,8 @@
                 }
                 self.usual[g].learn(held.batch.work, answer.work, answer.took, self.threads[g]);
             }
-            Outcome::Full | Outcome::TimedOut => tick.jammed = true,
+            Outcome::Full => tick.jammed = true,
+            Outcome::TimedOut => tick.jammed |= !out.stood,
             _ => {}
         }
         // A time-out at an engine that answered others meanwhile is load, which the budgets answer.
