--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,6 +36,8 @@
 const COLD_SPEND: f64 = 0.7;
 // A dispatch whose pace makes it this many times longer than its group's usual stretch of its estimate has gone wrong.
 const ASTRAY: f64 = 4.0;
+// How the bound of the last line moves when a batch called off takes as long again, and when it does not.
+const ASTRAY_STEPS: (f64, f64) = (1.5, 0.95);
 // Up to this share of the bound that last read late, more is surely borne.
 const SURE: f64 = 0.7;
 // Threads of free budget that a data set read there lately is worth, and an engine in this front's own zone.
@@ -313,11 +315,18 @@
     count: f64,
     /// Time taken over the estimated time, as it mostly is lately.
     stretch: f64,
+    /// Times the usual stretch beyond which a dispatch counts as astray: more where going again did not help.
+    astray: f64,
     /// Memory granted over the estimate, so that few spill.
     grant: f64,
 }
 
 impl Usual {
+    fn new() -> Usual {
+        let (hinted, lean, told, count) = (0.0, 1.0, None, 0.0);
+        Usual { hinted, lean, told, count, stretch: 1.5, astray: ASTRAY, grant: GRANT_FIRST }
+    }
+
     fn work(&self, hint: Option<Span>) -> Option<f64> {
         hint.map(|h| h.secs() * self.lean)
             .or(self.told)
@@ -340,8 +349,13 @@
         self.grant = self.grant.clamp(GRANT_BOUNDS.0, GRANT_BOUNDS.1);
     }
 
-    fn time(&mut self, took: Span, work: f64, threads: f64) {
+    fn time(&mut self, took: Span, work: f64, threads: f64, went_astray: bool) {
         let ratio = (took.secs() * threads / work.max(0.001)).clamp(0.5, 20.0);
+        if went_astray {
+            let again = ratio > self.stretch * ASTRAY;
+            self.astray *= if again { ASTRAY_STEPS.0 } else { ASTRAY_STEPS.1 };
+            self.astray = self.astray.clamp(ASTRAY, 10.0 * ASTRAY);
+        }
         self.stretch *= (ratio / self.stretch).powf(0.03);
     }
 
@@ -410,6 +424,8 @@
     out: Vec<Out>,
     dispatches: usize,
     last_engine: Option<usize>,
+    /// A dispatch of it was called off for its pace.
+    went_astray: bool,
     /// The first dispatch that may have run: engine and time sent.
     may_have_run: Option<(usize, At)>,
     over: bool,
@@ -493,17 +509,7 @@
     ) -> Policy {
         let ranks = rank(&groups);
         let threads: Vec<f64> = groups.iter().map(|g| g.threads.max(1.0)).collect();
-        let usual = groups
-            .iter()
-            .map(|_| Usual {
-                hinted: 0.0,
-                lean: 1.0,
-                told: None,
-                count: 0.0,
-                stretch: 1.5,
-                grant: GRANT_FIRST,
-            })
-            .collect::<Vec<_>>();
+        let usual = groups.iter().map(|_| Usual::new()).collect();
         let shares = Shares::new(&customers, fleet.fronts);
         Policy {
             asked: threads.clone(),
@@ -585,6 +591,7 @@
             out: Vec::new(),
             dispatches: 0,
             last_engine: None,
+            went_astray: false,
             may_have_run: None,
             over: false,
         };
@@ -668,7 +675,7 @@
                     tick.late += 1.0;
                 }
                 if let Some(work) = held.work {
-                    self.usual[g].time(answer.took, work, self.threads[g]);
+                    self.usual[g].time(answer.took, work, self.threads[g], held.went_astray);
                 }
                 self.usual[g].learn(held.batch.work, answer.work, answer.took, self.threads[g]);
             }
@@ -901,14 +908,19 @@
         if self.groups[g].effect != Effect::Repeatable || !self.caps.call_off {
             return Place::NotYet;
         }
-        let usual = held.work.map(|w| Span::from_secs(w / self.threads[g] * self.usual[g].stretch * ASTRAY));
+        let usual = held
+            .work
+            .map(|w| Span::from_secs(w / self.threads[g] * self.usual[g].stretch * self.usual[g].astray));
         let goal = self.groups[g].goal;
+        // Once: what is as slow elsewhere was estimated wrong, and calling it off again only wastes more.
+        let may = !held.went_astray;
         for out in held.out.iter_mut().filter(|o| !o.called_off) {
             let failing = self.engines[out.engine].as_ref().is_some_and(|e| e.health.failing);
             let silent = self.caps.notes_every.is_some_and(|n| now.since(out.heard) > n * NOTE_SLACK);
-            let astray = usual.zip(out.foretold).is_some_and(|(u, f)| f > u && f > goal);
+            let astray = may && usual.zip(out.foretold).is_some_and(|(u, f)| f > u && f > goal);
             if (failing && silent) || astray {
                 out.called_off = true;
+                held.went_astray |= astray;
                 return Place::CallOff(out.number);
             }
         }
