--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,6 +16,9 @@
 const TICK: Span = Span::from_millis(250);
 // Share of what a tick heard of that may be late before it reads congested; share of what is out that may be overdue.
 const LATE_SHARE: f64 = 0.25;
+const FADE: f64 = 0.7;
+// Less than this many answers, faded, is hearing nothing.
+const HEARD: f64 = 0.25;
 const OVERDUE_SHARE: f64 = 0.5;
 const THREADS_A_CORE: f64 = 1.5;
 // A batch that waits for its key's turn is looked at this often; one that is out, this often.
@@ -130,14 +133,14 @@
         if late {
             self.late_from = if was_late { self.late_from } else { self.bears };
             self.bears = (self.bears * RANKS[0].1.powf(step)).max(self.least);
-        } else if full && self.answers > 0.0 {
+        } else if full && self.answers > HEARD {
             // Fast up to near where it was last late, then by this front's share.
             let share = if self.bears < self.late_from * SURE { 1.0 } else { self.share };
             self.bears = (self.bears + RANKS[0].0 * step * share).min(self.ceiling);
         }
         self.was_late = late;
         // A tick that heard nothing while something is out has read nothing.
-        self.congested = late || full || (was && self.answers == 0.0 && out > 0.0);
+        self.congested = late || full || (was && self.answers <= HEARD && out > 0.0);
         for (g, budget) in self.budget.iter_mut().enumerate() {
             let (add, factor, _) = RANKS[ranks[g]];
             if self.congested && !was {
@@ -153,7 +156,8 @@
             let floor = if keeps_floor { threads[g] } else { 0.0 };
             *budget = budget.min(self.ceiling.max(threads[g])).max(floor);
         }
-        (self.answers, self.late, self.jammed) = (0.0, 0.0, false);
+        // Single late answers on thin traffic are chance: what was heard fades over a few ticks.
+        (self.answers, self.late, self.jammed) = (self.answers * FADE, self.late * FADE, false);
     }
 }
 
