--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,7 +16,7 @@
 const TICK: Span = Span::from_millis(250);
 // Share of what a tick heard of that may be late before it reads congested; share of what is out that may be overdue.
 const LATE_SHARE: f64 = 0.25;
-const FADE: f64 = 0.7;
+const FADE: f64 = 0.8;
 // Less than this many answers, faded, is hearing nothing.
 const HEARD: f64 = 0.25;
 const OVERDUE_SHARE: f64 = 0.5;
