--- a/src/policy.rs
+++ b/src/policy.rs
@@ -127,7 +127,7 @@
     /// What is out past its goal reads as late before it answers: a stuffed engine answers nothing at all.
     fn tick(&mut self, ranks: &[usize], threads: &[f64], overdue: f64, out: f64, keeps_floor: bool) {
         let (was, was_late) = (self.congested, self.was_late);
-        let late = self.jammed || self.late > self.answers * LATE_SHARE || overdue > out * OVERDUE_SHARE;
+        let late = self.jammed || self.late > HEARD.max(self.answers * LATE_SHARE) || overdue > out * OVERDUE_SHARE;
         let step = TICK.secs();
         let full = self.is_full();
         if late {
