--- a/src/interface.rs
+++ b/src/interface.rs
@@ -87,6 +87,8 @@
     pub come_back: Option<Span>,
     pub sets_memory: bool,
     pub sets_priority: bool,
+    /// Short of memory an engine lets all in and slows down, rather than have them wait or spill.
+    pub memory_pages: bool,
     /// Time between notes on a dispatch that is out, where there are notes.
     pub notes_every: Option<Span>,
     /// Smallest time between two readings of the clock.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -127,7 +127,8 @@
     /// What is out past its goal reads as late before it answers: a stuffed engine answers nothing at all.
     fn tick(&mut self, ranks: &[usize], threads: &[f64], overdue: f64, out: f64, keeps_floor: bool) {
         let (was, was_late) = (self.congested, self.was_late);
-        let late = self.jammed || self.late > HEARD.max(self.answers * LATE_SHARE) || overdue > out * OVERDUE_SHARE;
+        let late =
+            self.jammed || self.late > HEARD.max(self.answers * LATE_SHARE) || overdue > out * OVERDUE_SHARE;
         let step = TICK.secs();
         let full = self.is_full();
         if late {
@@ -916,13 +917,17 @@
             .work
             .map(|w| Span::from_secs(w / self.threads[g] * self.usual[g].stretch * self.usual[g].astray));
         let goal = self.groups[g].goal;
+        let late_after =
+            goal + Span::from_secs(self.groups[g].goal_stretch * held.work.unwrap_or(0.0) / self.threads[g]);
         // Once: what is as slow elsewhere was estimated wrong, and calling it off again only wastes more.
         let may = !held.went_astray;
         for out in held.out.iter_mut().filter(|o| !o.called_off) {
             let failing = self.engines[out.engine].as_ref().is_some_and(|e| e.health.failing);
             let silent = self.caps.notes_every.is_some_and(|n| now.since(out.heard) > n * NOTE_SLACK);
             let astray = may && usual.zip(out.foretold).is_some_and(|(u, f)| f > u && f > goal);
-            if (failing && silent) || astray {
+            // Behind a holder past its goal it only keeps memory that an engine in need of it pages for.
+            let stuck = self.caps.memory_pages && out.stood && now.since(out.sent) > late_after;
+            if (failing && silent) || astray || stuck {
                 out.called_off = true;
                 held.went_astray |= astray;
                 return Place::CallOff(out.number);
