A pace that foretells lateness counts as overdue, unless it went astray

Cause: lateness of reports shows seconds after the jam, their pace at the first note. Guards against any slowing of work; hurts where notes of progress are far off.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -349,6 +349,11 @@
         self.hinted += (hint.secs() - self.hinted) / self.count;
     }
 
+    /// A dispatch whose pace foretells more than this has gone astray; without an estimate none has.
+    fn astray_from(&self, work: Option<f64>, threads: f64) -> Span {
+        work.map_or(Span::from_secs(f64::MAX), |w| Span::from_secs(w / threads * self.stretch * self.astray))
+    }
+
     fn spilled(&mut self, yes: bool) {
         self.grant *= if yes { GRANT_STEPS.0 } else { GRANT_STEPS.1 };
         self.grant = self.grant.clamp(GRANT_BOUNDS.0, GRANT_BOUNDS.1);
@@ -753,10 +758,14 @@
         for held in self.batches.iter().flatten() {
             let g = held.batch.group;
             let goal = self.goal(g, held.work);
+            let astray = self.usual[g].astray_from(held.work, self.threads[g]);
             for out in &held.out {
                 let (late, all) = &mut overdue[out.engine];
                 *all += self.threads[g];
-                *late += if now.since(out.sent) > goal && !out.stood { self.threads[g] } else { 0.0 };
+                // A pace that foretells lateness is load too, unless so far off that the plan, not the engine, is bad.
+                let paced = out.foretold.filter(|f| *f < astray).unwrap_or_default();
+                let is_late = now.since(out.sent).max(paced) > goal && !out.stood;
+                *late += if is_late { self.threads[g] } else { 0.0 };
                 let Some(every) = self.caps.notes_every else { continue };
                 let heard = self.engines[out.engine].as_ref().map_or(now, |e| e.heard).max(out.heard);
                 if !out.called_off && now.since(heard) > every * NOTE_SLACK {
@@ -913,9 +922,7 @@
         if self.groups[g].effect != Effect::Repeatable || !self.caps.call_off {
             return Place::NotYet;
         }
-        let usual = held
-            .work
-            .map(|w| Span::from_secs(w / self.threads[g] * self.usual[g].stretch * self.usual[g].astray));
+        let usual = self.usual[g].astray_from(held.work, self.threads[g]);
         let goal = self.groups[g].goal;
         let late_after =
             goal + Span::from_secs(self.groups[g].goal_stretch * held.work.unwrap_or(0.0) / self.threads[g]);
@@ -924,7 +931,7 @@
         for out in held.out.iter_mut().filter(|o| !o.called_off) {
             let failing = self.engines[out.engine].as_ref().is_some_and(|e| e.health.failing);
             let silent = self.caps.notes_every.is_some_and(|n| now.since(out.heard) > n * NOTE_SLACK);
-            let astray = may && usual.zip(out.foretold).is_some_and(|(u, f)| f > u && f > goal);
+            let astray = may && out.foretold.is_some_and(|f| f > usual && f > goal);
             // Behind a holder past its goal it only keeps memory that an engine in need of it pages for.
             let stuck = self.caps.memory_pages && out.stood && now.since(out.sent) > late_after;
             if (failing && silent) || astray || stuck {
