--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,7 +36,7 @@
 // A dispatch should have brought a note by this many periods of notes.
 const NOTE_SLACK: f64 = 1.6;
 // Of the cold rule's budget, what this front spends: estimates of work scatter, and fronts know of a start at other times.
-const COLD_SPEND: f64 = 0.7;
+const COLD_SPEND: f64 = 0.85;
 // A dispatch whose pace makes it this many times longer than its group's usual stretch of its estimate has gone wrong.
 const ASTRAY: f64 = 4.0;
 // How the bound of the last line moves when a batch called off takes as long again, and when it does not.
@@ -258,11 +258,12 @@
     sent: VecDeque<(At, f64)>,
 }
 
-/// Share of its capacity that an engine surely has: the shape of the ramp is not told, so a slow one is taken.
+/// Share of its capacity that an engine should have: the shape of the ramp is not told; a straight one over the longest
+/// time is taken.
 fn warmth(rule: &ColdRule, started: Option<At>, now: At) -> f64 {
     let Some(started) = started else { return 1.0 };
     let age = now.since(started) / (rule.warm_within + Span::from_millis(500));
-    if age >= 1.0 { 1.0 } else { rule.starts_at + (1.0 - rule.starts_at) * age * age }
+    if age >= 1.0 { 1.0 } else { rule.starts_at + (1.0 - rule.starts_at) * age }
 }
 
 impl Cold {
