--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,9 +43,6 @@
 const ASTRAY_STEPS: (f64, f64) = (1.5, 0.95);
 // Up to this share of the bound that last read late, more is surely borne.
 const SURE: f64 = 0.7;
-// Answers that took less than this many times their bare work show an engine with room.
-const PACE_STEP: f64 = 0.1;
-const EASY: f64 = 1.5;
 // Threads of free budget that a data set read there lately is worth, and an engine in this front's own zone.
 const WARM_WORTH: f64 = 2.0;
 const WARM_SETS: usize = 4;
@@ -74,8 +71,6 @@
     /// The bound when it last began to read late.
     late_from: f64,
     was_late: bool,
-    /// Time taken there over the bare time of the work, as it mostly is lately.
-    pace: f64,
     /// This front's share of the fronts: steps of all of them add up at the engine.
     share: f64,
     congested: bool,
@@ -99,7 +94,6 @@
             least: bears * LEAST_BORNE,
             late_from: ceiling.min(bears * 2.0),
             was_late: false,
-            pace: EASY,
             share: 1.0 / fronts.max(1) as f64,
             congested: false,
             answers: 0.0,
@@ -142,7 +136,7 @@
             self.bears = (self.bears * RANKS[0].1.powf(step)).max(self.least);
         } else if full && self.answers > HEARD {
             // Fast up to near where it was last late, then by this front's share.
-            let share = if self.bears < self.late_from * SURE || self.pace < EASY { 1.0 } else { self.share };
+            let share = if self.bears < self.late_from * SURE { 1.0 } else { self.share };
             self.bears = (self.bears + RANKS[0].0 * step * share).min(self.ceiling);
         }
         self.was_late = late;
@@ -688,11 +682,6 @@
         match answer.outcome {
             Outcome::Returned => {
                 tick.answers += 1.0;
-                if let Some(bare) = answer.work.map(|w| w.secs()).or(work).filter(|w| *w > 0.0 && !out.stood)
-                {
-                    let ratio = (answer.took.secs() * self.threads[g] / bare).clamp(0.5, 20.0);
-                    tick.pace *= (ratio / tick.pace).powf(PACE_STEP);
-                }
                 if answer.took > goal && !out.stood {
                     tick.late += 1.0;
                 }
