--- a/adapter/src/front.rs
+++ b/adapter/src/front.rs
@@ -134,10 +134,12 @@
         }
     }
 
-    pub fn client_left(&mut self, now: At, id: u32) {
+    pub fn client_left(&mut self, now: At, id: u32, reply: &mut Reply) {
         let Some(&b) = self.by_id.get(&id) else { return };
         if !self.slots[b].over {
-            self.policy.client_left(now, b);
+            for number in self.policy.client_left(now, b) {
+                reply.call_off(self.who, id, number);
+            }
             self.slots[b].over = true;
         }
         self.leave(b);
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -136,7 +136,7 @@
                 };
                 front.outcome(now, id, number, &answer, reply);
             }
-            60 => front.client_left(now, r.u32()?),
+            60 => front.client_left(now, r.u32()?, reply),
             70 => front.timer(now, r.u64()?, reply),
             110 => {
                 let id = r.u32()?;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -721,9 +721,18 @@
         if held.out.is_empty() { now + KEY_LOOK } else { now + OUT_LOOK }
     }
 
-    /// The client left; what is out still brings its outcome.
-    pub fn client_left(&mut self, now: At, b: usize) {
+    /// The client left: whatever is out works for nobody, so it is called off wherever that is heeded. Impatient
+    /// clients come back at once, and would else have the engines work for both tries.
+    pub fn client_left(&mut self, now: At, b: usize) -> Vec<u8> {
+        let mut off = Vec::new();
+        if let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()).filter(|_| self.caps.call_off) {
+            for out in held.out.iter_mut().filter(|o| !o.called_off) {
+                out.called_off = true;
+                off.push(out.number);
+            }
+        }
         self.end(now, b);
+        off
     }
 
     pub fn note(&mut self, now: At, b: usize, number: u8, note: Note) {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -286,6 +286,21 @@
     }
 }
 
+#[test]
+fn what_is_out_for_a_client_that_left_is_called_off() {
+    // (may call off, outcome known before the client left, what is called off)
+    for (may, ended, off) in [(true, false, vec![0]), (false, false, vec![]), (true, true, vec![])] {
+        let mut rig = Rig::default();
+        rig.caps.call_off = may;
+        let mut front = rig.start(1);
+        let (b, _) = front.take(0, batch(LOAD));
+        if ended {
+            front.end(10, b, 0, Outcome::Full, 10);
+        }
+        assert_eq!(front.policy.client_left(ms(20), b), off, "{may} {ended}");
+    }
+}
+
 #[test]
 fn grants_follow_the_notes_of_spilling() {
     for (spills, more) in [(true, true), (false, false)] {
