--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,6 +51,9 @@
 const SHARE_DEPTH: Span = Span::from_millis(2000);
 const BEYOND_SHARE_FILL: f64 = 0.7;
 // The part of its first bound that a front's bound never goes under.
+// How far over its share of what engines hold a front's bound may go, and how that share fades an answer.
+const SHARE_ROOM: f64 = 1.5;
+const SHARE_FADE: f64 = 0.998;
 const LEAST_BORNE: f64 = 0.33;
 // Memory over the estimate at first, and the steps after a spill and after none: they meet at one spill in eight.
 const GRANT_FIRST: f64 = 1.25;
@@ -71,6 +74,7 @@
     /// The bound when it last began to read late.
     late_from: f64,
     was_late: bool,
+    batches: usize,
     /// This front's share of the fronts: steps of all of them add up at the engine.
     share: f64,
     congested: bool,
@@ -94,6 +98,7 @@
             least: bears * LEAST_BORNE,
             late_from: ceiling.min(bears * 2.0),
             was_late: false,
+            batches: 0,
             share: 1.0 / fronts.max(1) as f64,
             congested: false,
             answers: 0.0,
@@ -125,7 +130,14 @@
     }
 
     /// What is out past its goal reads as late before it answers: a stuffed engine answers nothing at all.
-    fn tick(&mut self, ranks: &[usize], threads: &[f64], overdue: f64, out: f64, keeps_floor: bool) {
+    fn tick(
+        &mut self,
+        ranks: &[usize],
+        threads: &[f64],
+        (overdue, out): (f64, f64),
+        keeps_floor: bool,
+        most: f64,
+    ) {
         let (was, was_late) = (self.congested, self.was_late);
         let late =
             self.jammed || self.late > HEARD.max(self.answers * LATE_SHARE) || overdue > out * OVERDUE_SHARE;
@@ -137,7 +149,7 @@
         } else if full && self.answers > HEARD {
             // Fast up to near where it was last late, then by this front's share.
             let share = if self.bears < self.late_from * SURE { 1.0 } else { self.share };
-            self.bears = (self.bears + RANKS[0].0 * step * share).min(self.ceiling);
+            self.bears = (self.bears + RANKS[0].0 * step * share).min(self.ceiling * most);
         }
         self.was_late = late;
         // A tick that heard nothing while something is out has read nothing.
@@ -457,6 +469,8 @@
     asked: Vec<f64>,
     engines: Vec<Option<EngineNow>>,
     batches: Vec<Option<Held>>,
+    /// Batches out of this front and of all, at engines that told, fading.
+    held_there: (f64, f64),
     overloaded: bool,
     log: Vec<String>,
     chance: WyRand,
@@ -536,6 +550,7 @@
             groups,
             engines: Vec::new(),
             batches: Vec::new(),
+            held_there: (0.0, 0.0),
             overloaded: false,
             log: Vec::new(),
             chance: WyRand::new_seed(seed),
@@ -679,6 +694,11 @@
             self.usual[g].spilled(out.spilled);
         }
         let tick = &mut engine.budgets;
+        tick.batches = tick.batches.saturating_sub(1);
+        if let Some(all) = answer.report.in_hand.filter(|n| *n > 0.0) {
+            let (own, of) = &mut self.held_there;
+            (*own, *of) = (*own * SHARE_FADE + (tick.batches as f64).min(all), *of * SHARE_FADE + all);
+        }
         match answer.outcome {
             Outcome::Returned => {
                 tick.answers += 1.0;
@@ -762,6 +782,11 @@
     /// The periodic work.
     pub fn tick(&mut self, now: At) {
         let floors: f64 = self.threads.iter().sum();
+        // Calm lets the bounds of all fronts grow to the whole engine each, and the next surge stuffs it. Where engines
+        // tell what they hold, a front's bound ends a little over its share of that.
+        let even = 1.0 / self.fleet.fronts.max(1) as f64;
+        let (own, all) = self.held_there;
+        let most = if all > 0.0 { (SHARE_ROOM * (own / all).max(even)).min(1.0) } else { 1.0 };
         let (mut ready, mut congested) = (0.0, 0.0);
         let mut missed = vec![0usize; self.engines.len()];
         let mut overdue = vec![(0.0, 0.0); self.engines.len()];
@@ -789,7 +814,7 @@
             // Floors of many fronts add up to a jam: then each keeps its floors at every so manieth engine only.
             let crowd = floors * self.fleet.fronts as f64 / (cores * THREADS_A_CORE);
             let keeps = (e + self.fleet.me).is_multiple_of(crowd.ceil().max(1.0) as usize);
-            engine.budgets.tick(&self.ranks, &self.threads, overdue[e].0, overdue[e].1, keeps);
+            engine.budgets.tick(&self.ranks, &self.threads, overdue[e], keeps, most);
             // Silence: notes are due from what is out and nothing at all has come from the engine.
             for _ in 0..missed[e].min(2) {
                 if !engine.health.failing && engine.health.see(true, now) {
@@ -886,6 +911,7 @@
         }
         engine.health.trial_at = now + engine.health.trial_gap;
         engine.budgets.running[g] += self.threads[g];
+        engine.budgets.batches += 1;
         if warmth(&self.cold, engine.told.started, now) < 1.0 {
             engine.cold.sent.push_back((now, self.usual[g].mean()));
         }
