--- a/src/policy.rs
+++ b/src/policy.rs
@@ -52,7 +52,7 @@
 const BEYOND_SHARE_FILL: f64 = 0.7;
 // The part of its first bound that a front's bound never goes under.
 // How far over its share of what engines hold a front's bound may go, and how that share fades an answer.
-const SHARE_ROOM: f64 = 1.5;
+const SHARE_ROOM: f64 = 1.75;
 const SHARE_FADE: f64 = 0.998;
 const LEAST_BORNE: f64 = 0.33;
 // Memory over the estimate at first, and the steps after a spill and after none: they meet at one spill in eight.
