--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,12 +14,11 @@
 const RANKS: [(f64, f64, u8); 3] = [(1.5, 0.8, 3), (1.0, 0.6, 2), (0.5, 0.4, 1)];
 // Shorter than the page's second, with the steps scaled to it: a jam builds up in less than that.
 const TICK: Span = Span::from_millis(250);
-// Share of what a tick heard of that may be late before it reads congested; share of what is out that may be overdue.
+// Share of what a tick heard of and what is out that may be late before it reads congested.
 const LATE_SHARE: f64 = 0.25;
 const FADE: f64 = 0.8;
 // Less than this many answers, faded, is hearing nothing.
 const HEARD: f64 = 0.25;
-const OVERDUE_SHARE: f64 = 0.5;
 const THREADS_A_CORE: f64 = 1.5;
 // A batch that waits for its key's turn is looked at this often; one that is out, this often.
 const KEY_LOOK: Span = Span::from_millis(20);
@@ -139,8 +138,7 @@
         most: f64,
     ) {
         let (was, was_late) = (self.congested, self.was_late);
-        let late =
-            self.jammed || self.late > HEARD.max(self.answers * LATE_SHARE) || overdue > out * OVERDUE_SHARE;
+        let late = self.jammed || self.late + overdue > HEARD.max((self.answers + out) * LATE_SHARE);
         let step = TICK.secs();
         let full = self.is_full();
         if late {
@@ -796,11 +794,11 @@
             let astray = self.usual[g].astray_from(held.work, self.threads[g]);
             for out in &held.out {
                 let (late, all) = &mut overdue[out.engine];
-                *all += self.threads[g];
+                *all += 1.0;
                 // A pace that foretells lateness is load too, unless so far off that the plan, not the engine, is bad.
                 let paced = out.foretold.filter(|f| *f < astray).unwrap_or_default();
                 let is_late = now.since(out.sent).max(paced) > goal && !out.stood;
-                *late += if is_late { self.threads[g] } else { 0.0 };
+                *late += f64::from(u8::from(is_late));
                 let Some(every) = self.caps.notes_every else { continue };
                 let heard = self.engines[out.engine].as_ref().map_or(now, |e| e.heard).max(out.heard);
                 if !out.called_off && now.since(heard) > every * NOTE_SLACK {
