What waits for its key is asked about by its last safe moment at the latest

Found on reading: a look every 20 ms could pass the last safe moment by 10 ms (still within the slack).

--- a/adapter/src/front.rs
+++ b/adapter/src/front.rs
@@ -160,11 +160,9 @@
         if self.timer_at.is_some_and(|at| at <= now) {
             self.timer_at = None;
         }
-        while let Some(&(at, b)) = self.due.first() {
-            if at > now {
-                break;
-            }
-            self.due.pop_first();
+        // Each is asked once: whatever comes due again at this reading of the clock waits for the next.
+        let later = self.due.split_off(&(now + Span::from_micros(1), 0));
+        for (_, b) in std::mem::replace(&mut self.due, later) {
             self.slots[b].due = None;
             self.ask(now, b, reply);
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -596,12 +596,8 @@
     pub fn take(&mut self, now: At, b: usize, batch: Batch) {
         self.ration.count_taken(now);
         let g = batch.group;
-        self.asked[g] = self.asked[g] * 0.999 + self.threads[g];
-        for (i, asked) in self.asked.iter_mut().enumerate() {
-            if i != g {
-                *asked *= 0.999;
-            }
-        }
+        self.asked.iter_mut().for_each(|asked| *asked *= 0.999);
+        self.asked[g] += self.threads[g];
         self.usual[g].hint(batch.work);
         if let (true, Some(key)) = (self.groups[g].in_order, batch.key) {
             self.keys.join(key, b);
@@ -634,8 +630,7 @@
             return self.look_at_out(now, b);
         }
         let group = &self.groups[held.batch.group];
-        // An own due time lands on the next reading of the clock, so the last safe moment lies before the limit.
-        if now + self.caps.clock_step + self.caps.clock_step + self.caps.clock_step >= held.batch.time_limit {
+        if now >= self.last_moment(held) {
             return self.give_up(now, b);
         }
         if let (true, Some(key)) = (group.in_order, held.batch.key)
@@ -736,7 +731,7 @@
     /// How long to wait before asking about this batch again.
     pub fn wait(&self, now: At, b: usize) -> At {
         let Some(held) = self.batches.get(b).and_then(|h| h.as_ref()) else { return now + OUT_LOOK };
-        if held.out.is_empty() { now + KEY_LOOK } else { now + OUT_LOOK }
+        if held.out.is_empty() { (now + KEY_LOOK).min(self.last_moment(held)) } else { now + OUT_LOOK }
     }
 
     /// The client left: whatever is out works for nobody, so it is called off wherever that is heeded. Impatient
@@ -843,6 +838,11 @@
         std::mem::take(&mut self.log)
     }
 
+    /// An own due time lands on the next reading of the clock, so the last safe moment lies before the time limit.
+    fn last_moment(&self, held: &Held) -> At {
+        held.batch.time_limit - self.caps.clock_step * 3.0
+    }
+
     /// When an answer is late: the group's response goal, stretched by the work.
     fn goal(&self, g: usize, work: Option<f64>) -> Span {
         let group = &self.groups[g];
@@ -934,7 +934,6 @@
         });
         held.dispatches += 1;
         held.last_engine = Some(e);
-        // Ends before the time limit, so that the answer it still calls for is in time.
         engine.warm.retain(|s| *s != set);
         engine.warm.push_back(set);
         if engine.warm.len() > WARM_SETS {
@@ -943,23 +942,24 @@
         if group.holds_data {
             engine.held.entry(set).or_default().own += 1;
         }
-        let step = self.caps.clock_step;
-        let time_out = held.batch.time_limit.since(now + step + step);
+        // Ends before the time limit, so that the answer it still calls for is in time.
+        let time_out = held.batch.time_limit.since(now + self.caps.clock_step * 2.0);
         Place::Send(Dispatch { engine: e, time_out, memory_mb, priority })
     }
 
     /// A batch that is out is called off where its engine went silent, or where its pace is far from its group's: a
     /// bad plan, a slow engine or a spill all look so, and a fresh dispatch, or none, costs less than the rest of it.
     fn look_at_out(&mut self, now: At, b: usize) -> Place {
+        let Some((g, work)) = self.batches[b].as_ref().map(|h| (h.batch.group, h.work)) else {
+            return Place::NotYet;
+        };
+        let late_after = self.goal(g, work);
         let Some(held) = self.batches[b].as_mut() else { return Place::NotYet };
-        let g = held.batch.group;
         if self.groups[g].effect != Effect::Repeatable || !self.caps.call_off {
             return Place::NotYet;
         }
         let usual = self.usual[g].astray_from(held.work, self.threads[g]);
         let goal = self.groups[g].goal;
-        let late_after =
-            goal + Span::from_secs(self.groups[g].goal_stretch * held.work.unwrap_or(0.0) / self.threads[g]);
         // Once: what is as slow elsewhere was estimated wrong, and calling it off again only wastes more.
         let may = !held.went_astray;
         for out in held.out.iter_mut().filter(|o| !o.called_off) {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -21,6 +21,21 @@
     }
 }
 
+#[test]
+fn rule_1_what_waits_for_its_key_is_asked_about_in_time() {
+    // (asked at ms, time limit at ms, asked again at ms): its look, or the last safe moment
+    for (at, limit, again) in [(0, 1000, 20), (0, 30, 15), (970, 1000, 985)] {
+        let mut rig = Rig::default();
+        rig.groups[LOAD].in_order = true;
+        let mut front = rig.start(1);
+        front.take(0, Batch { key: Some(1), ..batch(LOAD) });
+        let waiting = Batch { key: Some(1), time_limit: ms(limit), ..batch(LOAD) };
+        let (b, place) = front.take(at, waiting);
+        assert_eq!((place, front.policy.wait(ms(at), b)), (Place::NotYet, ms(again)));
+        assert!(matches!(front.policy.place(ms(limit - 15), b), Place::PushBack(_)));
+    }
+}
+
 #[test]
 fn rule_2_what_may_have_run_is_neither_sent_again_nor_pushed_back() {
     let referenced = |scope| Effect::Referenced { scope, window: Span::from_millis(3000) };
