--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,7 +74,7 @@
     late_from: f64,
     was_late: bool,
     batches: usize,
-    /// This front's share of the fronts: steps of all of them add up at the engine.
+    /// Part of a step that this front takes: the steps of all add up, and each hears only its part of the answers.
     share: f64,
     congested: bool,
     // What this tick has shown so far.
@@ -88,7 +88,8 @@
         let ceiling = (cores * THREADS_A_CORE).max(1.0);
         let budget = thread_shares.iter().map(|s| ceiling / fronts.max(1) as f64 * s).collect();
         let running = vec![0.0; thread_shares.len()];
-        let bears = ceiling / fronts.max(1) as f64;
+        let share = 1.0 / fronts.max(1) as f64;
+        let bears = ceiling * share;
         Budgets {
             budget,
             running,
@@ -98,7 +99,7 @@
             late_from: ceiling.min(bears * 2.0),
             was_late: false,
             batches: 0,
-            share: 1.0 / fronts.max(1) as f64,
+            share: share * (2.0 * share).min(1.0),
             congested: false,
             answers: 0.0,
             late: 0.0,
