--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,6 +30,8 @@
 const EVIDENCE: f64 = 4.0;
 // A failing engine is cleared when its trials have taken the evidence down to this share.
 const CLEARED: f64 = 0.5;
+// Above this share of failing engines it is the net or the work, not the engines: then none is left out.
+const MOST_FAILING: f64 = 0.5;
 const TRIAL_FIRST: Span = Span::from_millis(1000);
 const TRIAL_MOST: Span = Span::from_millis(8000);
 // A dispatch should have brought a note by this many periods of notes.
@@ -858,17 +860,19 @@
         let first = held.may_have_run.and_then(|(e, at)| Some((self.engines[e].as_ref()?.told.clone(), at)));
         let first = first.as_ref().map(|(engine, at)| (engine, *at));
         let mean = self.usual[g].mean();
-        // With every engine judged failing the judgement itself is in doubt: go by budgets alone. Full but sound ones
+        // With most engines judged failing the judgement itself is in doubt: go by budgets alone. Full but sound ones
         // count: what they have no room for must not spill onto a failing one.
         let in_reach = |x: &EngineNow| x.told.state == EngineState::Ready && in_place(group, &x.told);
-        let any_sound = self.engines.iter().flatten().any(|x| in_reach(x) && !x.health.failing);
+        let reach = self.engines.iter().flatten().filter(|x| in_reach(x));
+        let (all, failing) = reach.fold((0, 0), |(n, f), x| (n + 1, f + usize::from(x.health.failing)));
+        let trusted = failing as f64 <= all as f64 * MOST_FAILING;
         let mut best: Option<(usize, f64)> = None;
         let mut ties = 0u64;
         for (e, slot) in self.engines.iter_mut().enumerate() {
             let Some(engine) = slot.as_mut().filter(|x| in_reach(x)) else { continue };
             // A trial batch is one that may run again. No probe clears an engine: one that answers probes may error.
             let trial = group.effect == Effect::Repeatable && now >= engine.health.trial_at;
-            if (any_sound && engine.health.failing && !trial)
+            if (trusted && engine.health.failing && !trial)
                 || !engine.budgets.has_room(g, self.threads[g], held.within_share)
                 || !may_repeat(group.effect, first, &engine.told, now, self.caps.clock_step)
             {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -214,6 +214,26 @@
     }
 }
 
+#[test]
+fn with_most_engines_failing_none_is_left_out() {
+    // (engines, of them failing, whether failing ones still get batches)
+    for (engines, failing, used) in [(4, 1, false), (4, 2, false), (4, 3, true), (4, 4, true)] {
+        let mut front = Rig::default().start(failing);
+        for at in 0..8 {
+            for _ in 0..failing {
+                let (b, place) = front.take(at, batch(LOOK_UP));
+                if sent_to(place).is_some() {
+                    front.end(at, b, 0, Outcome::Reset, 1);
+                    front.policy.client_left(ms(at), b);
+                }
+            }
+        }
+        (failing..engines).for_each(|e| front.policy.engine(ms(50), e, engine()));
+        let sent = (0..20).filter_map(|_| sent_to(front.take(50, batch(LOOK_UP)).1));
+        assert_eq!(sent.filter(|e| *e < failing).count() > 0, used, "{failing} of {engines}");
+    }
+}
+
 #[test]
 fn more_out_than_was_borne_binds_and_is_pushed_back_at_once() {
     // One engine of 8 cores: (group, threads, most that may be out before the first is pushed back)
