--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -129,13 +129,30 @@
     }
 
     pub fn end(&mut self, at: u64, b: usize, number: u8, outcome: Outcome, took_ms: u64) -> Next {
+        self.finish(at, b, number, outcome, took_ms, Report::default())
+    }
+
+    /// The first dispatch of a batch ends with a load report.
+    pub fn end_with(&mut self, at: u64, b: usize, outcome: Outcome, took_ms: u64, report: Report) {
+        self.finish(at, b, 0, outcome, took_ms, report);
+    }
+
+    fn finish(
+        &mut self,
+        at: u64,
+        b: usize,
+        number: u8,
+        outcome: Outcome,
+        took_ms: u64,
+        report: Report,
+    ) -> Next {
         let answer = Answer {
             outcome,
             took: Span::from_millis(took_ms),
             over: outcome == Outcome::Returned,
             work: None,
             memory_mb: None,
-            report: Report::default(),
+            report,
         };
         self.policy.after(ms(at), b, number, &answer)
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -253,30 +253,134 @@
 
 #[test]
 fn only_lateness_that_shows_load_cuts_the_bound() {
-    // A front's answers at its one engine: (took ms, stood behind a holder), then how many look-ups get out after.
-    for (took, stood, cut) in [(100, false, false), (5000, false, true), (5000, true, false)] {
+    // Outcomes at a front's one engine: (outcome, took ms, stood behind a holder), then whether less gets out later.
+    for (outcome, took, stood, cut) in [
+        (Outcome::Returned, 100, false, false),
+        (Outcome::Returned, 5000, false, true),
+        (Outcome::Returned, 5000, true, false),
+        (Outcome::TimedOut, 5000, false, true),
+        (Outcome::TimedOut, 5000, true, false),
+    ] {
         let mut rig = Rig::default();
         rig.groups[LOOK_UP].waits_for_holder = true;
         let mut front = rig.start(1);
-        for round in 0..12 {
-            let at = 5000 * round;
+        for at in (0..60_000).step_by(5000) {
             for _ in 0..4 {
-                let limit = ms(at + 20_000);
-                let (b, _) = front.take(at, Batch { time_limit: limit, ..batch(LOOK_UP) });
+                let (b, _) = front.take(at, Batch { time_limit: ms(at + 20_000), ..batch(LOOK_UP) });
                 if stood {
                     front.policy.note(ms(at + 50), b, 0, Note::WaitsForHolder);
                 }
-                front.end(at + took, b, 0, Outcome::Returned, took);
+                front.end(at + took, b, 0, outcome, took);
+                front.policy.client_left(ms(at + took), b);
             }
             front.policy.tick(ms(at + took));
         }
-        let limit = ms(100_000);
-        let out = (0..40)
-            .filter(|_| {
-                sent_to(front.take(70_000, Batch { time_limit: limit, ..batch(LOOK_UP) }).1).is_some()
-            })
-            .count();
-        assert_eq!(out < 12, cut, "took {took}, stood {stood}: {out} out");
+        (0..60).for_each(|_| front.policy.tick(ms(70_000)));
+        let one = Batch { time_limit: ms(100_000), ..batch(LOOK_UP) };
+        let out = (0..40).filter(|_| sent_to(front.take(70_000, one.clone()).1).is_some()).count();
+        assert_eq!(out < 12, cut, "{outcome:?} after {took}, stood {stood}: {out} out");
+        assert!(out > 1, "one late answer, long faded, still binds");
+    }
+}
+
+#[test]
+fn what_is_out_reads_late_before_it_answers() {
+    // (share done at 1 s, tick at ms, whether one more is pushed back); the goal is 3 s, astray from 6 s.
+    for (done, at, bound) in [
+        (None, 1200, false),
+        (None, 3500, true),
+        (Some(0.5), 1200, false),
+        (Some(0.25), 1200, true),
+        (Some(0.1), 1200, false),
+    ] {
+        let mut front = Rig::default().start(1);
+        let one = Batch { work: Some(Span::from_millis(1000)), ..batch(LOOK_UP) };
+        for _ in 0..4 {
+            let (b, _) = front.take(0, one.clone());
+            if let Some(share) = done {
+                front.policy.note(ms(1000), b, 0, Note::Done(share));
+            }
+        }
+        front.policy.tick(ms(at));
+        assert_eq!(sent_to(front.take(at, one).1).is_none(), bound, "{done:?} at {at}");
+    }
+}
+
+#[test]
+fn floors_thin_out_and_no_further_dispatch_goes_out_in_overload() {
+    // (fronts, loads that still go out while all six engines read congested)
+    for (fronts, loads) in [(1, 6), (8, 2)] {
+        let mut rig = Rig::default();
+        rig.fleet.fronts = fronts;
+        let mut front = rig.start(6);
+        // Each in a data set of its own, so that they spread over the engines.
+        let first = front.take(0, batch(LOOK_UP)).0;
+        for data_set in 1..6 {
+            assert!(sent_to(front.take(0, Batch { data_set, ..batch(LOOK_UP) }).1).is_some());
+        }
+        (0..60).for_each(|_| front.policy.tick(ms(5000)));
+        let sent = (0..20).filter(|_| sent_to(front.take(5000, batch(LOAD)).1).is_some()).count();
+        assert_eq!(sent, loads, "{fronts} fronts");
+        front.end(5001, first, 0, Outcome::Full, 1);
+        assert!(matches!(front.policy.place(ms(5001), first), Place::PushBack(_)));
+    }
+}
+
+#[test]
+fn the_bound_ends_a_little_over_a_fronts_share_of_what_engines_hold() {
+    // (batches that the engine says it holds for each of this front's, most out after long calm)
+    for (times, least, most) in [(None, 7, 12), (Some(4.0), 5, 6), (Some(1.0), 10, 12)] {
+        let mut rig = Rig::default();
+        rig.fleet.fronts = 4;
+        let mut front = rig.start(1);
+        let mut out = Vec::new();
+        for round in 0..400 {
+            let at = round * 250;
+            let one = Batch { time_limit: ms(at + 9000), ..batch(LOOK_UP) };
+            for b in std::mem::take(&mut out) {
+                let in_hand = times.map(|t| t * 6.0);
+                let report = Report { in_hand, ..Report::default() };
+                front.end_with(at, b, Outcome::Returned, 100, report);
+            }
+            while let (b, Place::Send(_)) = front.take(at, one.clone()) {
+                out.push(b);
+            }
+            front.policy.tick(ms(at));
+        }
+        assert!((least..=most).contains(&out.len()), "{times:?}: {} out", out.len());
+    }
+}
+
+#[test]
+fn warm_data_sets_and_the_own_zone_break_near_ties() {
+    // (zone of the second engine, all in one data set, whether all go to one engine)
+    for (zone_1, one_set, one_engine) in [(0, true, true), (1, false, true), (0, false, false)] {
+        let mut front = Rig::default().start(2);
+        front.policy.engine(ms(1), 1, Engine { zone: zone_1, ..engine() });
+        let mut at_0 = 0;
+        for at in 0..20 {
+            let data_set = if one_set { 5 } else { 100 + at as u32 };
+            let (b, place) = front.take(at, Batch { data_set, ..batch(LOOK_UP) });
+            at_0 += usize::from(sent_to(place) == Some(0));
+            front.end(at, b, 0, Outcome::Returned, 1);
+        }
+        assert_eq!(at_0 == 20 || at_0 == 0, one_engine, "zone {zone_1}, one set {one_set}: {at_0} of 20");
+    }
+}
+
+#[test]
+fn a_new_start_clears_a_failing_engine() {
+    for (started, used) in [(None, false), (Some(ms(50)), true)] {
+        let mut front = Rig { cold: ColdRule::default(), ..Rig::default() }.start(1);
+        for at in 0..4 {
+            let (b, _) = front.take(at, batch(LOOK_UP));
+            front.end(at, b, 0, Outcome::Reset, 1);
+            front.policy.client_left(ms(at), b);
+        }
+        front.policy.engine(ms(60), 1, engine());
+        front.policy.engine(ms(60), 0, Engine { started, ..engine() });
+        let at_0 = (0..10).filter(|_| sent_to(front.take(60, batch(LOOK_UP)).1) == Some(0)).count();
+        assert_eq!(at_0 > 0, used, "{started:?}: {at_0} of 10");
     }
 }
 
@@ -318,6 +422,26 @@
         }
         let place = front.policy.place(ms(if done.is_some() { 1001 } else { 2500 }), b);
         assert_eq!(place == Place::CallOff(0), off, "group {group}, done {done:?}: {place:?}");
+        if off && done.is_some() {
+            // What is as slow elsewhere was estimated wrong: once is enough.
+            front.end(1002, b, 0, Outcome::CalledOff, 1002);
+            assert!(sent_to(front.policy.place(ms(1002), b)).is_some());
+            front.policy.note(ms(2002), b, 1, Note::Done(0.01));
+            assert_eq!(front.policy.place(ms(2003), b), Place::NotYet);
+        }
+    }
+}
+
+#[test]
+fn what_stands_still_past_its_goal_is_called_off_where_engines_page() {
+    // (engines page, asked at ms, call it off); the goal is 1.4 s
+    for (memory_pages, at, off) in [(true, 1500, true), (true, 1300, false), (false, 1500, false)] {
+        let mut rig = Rig::default();
+        rig.caps.memory_pages = memory_pages;
+        let mut front = rig.start(1);
+        let (b, _) = front.take(0, batch(LOOK_UP));
+        front.policy.note(ms(1000), b, 0, Note::WaitsForHolder);
+        assert_eq!(front.policy.place(ms(at), b) == Place::CallOff(0), off, "{memory_pages} at {at}");
     }
 }
 
