--- a/adapter/src/front.rs
+++ b/adapter/src/front.rs
@@ -66,18 +66,8 @@
     }
 
     pub fn report(&self, values: &[f64]) -> Report {
-        let mut report = Report::default();
-        for (name, value) in self.report_fields.iter().zip(values) {
-            match name.as_str() {
-                "concurrent" => report.in_hand = Some(*value),
-                "depth" => report.waiting = Some(*value),
-                "load_share" => report.busy = Some(*value),
-                "x0" => report.memory = Some(*value),
-                "x1" => report.disks = Some(*value),
-                _ => {}
-            }
-        }
-        report
+        let fields = self.report_fields.iter().zip(values);
+        Report { in_hand: fields.filter(|(name, _)| *name == "concurrent").map(|(_, v)| *v).next() }
     }
 
     /// The list's entries: all of them, or changes only.
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -47,10 +47,10 @@
             2 => EngineState::Draining,
             other => return Err(format!("snapshot_rows: unknown health {other}")),
         };
-        let size = r.f32()?;
+        let _size = r.f32()?;
         let born = r.u64()?;
         let started = (born > 0).then(|| At::from_micros(born));
-        out.push((address, Engine { zone, kind, cell, state, size, started }));
+        out.push((address, Engine { zone, kind, cell, state, started }));
     }
     Ok(out)
 }
@@ -116,7 +116,6 @@
                     work: (bits & 1 != 0 && cost > 0).then(|| Span::from_micros(u64::from(cost))),
                     memory_mb: (memory > 0.0).then_some(memory),
                     data_set: set as u32,
-                    client_retry: bits & 2 != 0,
                 };
                 front.take(now, id, batch, reply)?;
             }
@@ -131,7 +130,6 @@
                     took: Span::from_micros(u64::from(rtt)),
                     over: ended,
                     work: told.then(|| Span::from_millis(u64::from(used >> 12))),
-                    memory_mb: told.then(|| f64::from(used & 4095) * 4.0),
                     report: front.report(&values(&mut r)?),
                 };
                 front.outcome(now, id, number, &answer, reply);
--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -28,9 +28,7 @@
     cancel: bool,
     max_attempts: usize,
     max_retry_after: u64,
-    probes: bool,
     retry_after: bool,
-    second_copies: bool,
 }
 
 #[derive(Deserialize, Default)]
@@ -40,10 +38,8 @@
     aim_stretch: f64,
     dedup_window: u64,
     effect: String,
-    hard_limit: u64,
     keep_order: bool,
     key_scope: String,
-    late_value: f64,
     models_open: Option<Vec<usize>>,
     stays_in: Option<Vec<usize>>,
     worth: f64,
@@ -68,7 +64,6 @@
 #[serde(default)]
 struct RawCustomer {
     allowance_per_s: f64,
-    share: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -80,7 +75,6 @@
     extra_window: Option<u64>,
     fall: u64,
     fall_multiple: f64,
-    grace_to_answer: u64,
     key_quiet: u64,
     ramp_time: u64,
 }
@@ -89,7 +83,6 @@
 #[serde(default)]
 struct RawStats {
     fields: Vec<String>,
-    how: String,
 }
 
 /// What one front is handed at its start, part by part.
@@ -128,10 +121,8 @@
         };
         groups.push(ServiceGroup {
             utility: g.worth,
-            late_share: g.late_value,
             goal: us(g.aim),
             goal_stretch: g.aim_stretch,
-            time_limit: us(g.hard_limit),
             effect,
             in_order: g.keep_order,
             threads: raw.domain.threads_by_class.get(i).copied().unwrap_or(1.0),
@@ -155,18 +146,11 @@
                     memory_mb: size(&raw.domain.size_mb, i),
                 })
                 .collect(),
-            reports_in_answers: raw.stats.how == "answers",
         },
         groups,
-        customers: raw
-            .parties
-            .iter()
-            .map(|p| Customer { share: p.share, allowance: p.allowance_per_s })
-            .collect(),
+        customers: raw.parties.iter().map(|p| Customer { allowance: p.allowance_per_s }).collect(),
         caps: Caps {
             call_off: raw.caps.cancel,
-            probes: raw.caps.probes,
-            second_copies: raw.caps.second_copies,
             most_dispatches: raw.caps.max_attempts,
             come_back: if raw.caps.retry_after { some(raw.caps.max_retry_after) } else { None },
             sets_memory: raw.domain.grants,
@@ -174,7 +158,6 @@
             sets_priority: raw.domain.ranks_heeded,
             notes_every: some(raw.domain.note_period),
             clock_step: us(raw.period),
-            answer_slack: us(s.grace_to_answer),
         },
         cold: ColdRule {
             multiple: s.fall_multiple,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -12,8 +12,6 @@
     pub me: usize,
     pub zone: usize,
     pub kinds: Vec<Kind>,
-    /// Whether engines report their load with every answer, or only to probes.
-    pub reports_in_answers: bool,
 }
 
 impl Fleet {
@@ -32,13 +30,9 @@
 #[derive(Clone, Debug)]
 pub struct ServiceGroup {
     pub utility: f64,
-    /// Share of the utility that an answer after the response goal still earns.
-    pub late_share: f64,
     /// An answer is wanted within `goal`, plus `goal_stretch` times the work over the threads.
     pub goal: Span,
     pub goal_stretch: f64,
-    /// The client gives up after this; each batch also carries its own point in time.
-    pub time_limit: Span,
     pub effect: Effect,
     pub in_order: bool,
     pub threads: f64,
@@ -71,7 +65,6 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Customer {
-    pub share: f64,
     /// Batches a second over all fronts that count in full.
     pub allowance: f64,
 }
@@ -80,8 +73,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Caps {
     pub call_off: bool,
-    pub probes: bool,
-    pub second_copies: bool,
     pub most_dispatches: usize,
     /// The longest time to come back that clients heed, where they are told one at all.
     pub come_back: Option<Span>,
@@ -93,8 +84,6 @@
     pub notes_every: Option<Span>,
     /// Smallest time between two readings of the clock.
     pub clock_step: Span,
-    /// What the wait after a client's time limit costs nothing.
-    pub answer_slack: Span,
 }
 
 /// A cold engine falls over when sent more than `multiple` times its present capacity for `window`.
@@ -120,7 +109,6 @@
     pub kind: usize,
     pub cell: usize,
     pub state: EngineState,
-    pub size: f64,
     /// When it last started; `None` is long ago.
     pub started: Option<At>,
 }
@@ -142,7 +130,6 @@
     pub work: Option<Span>,
     pub memory_mb: Option<f64>,
     pub data_set: u32,
-    pub client_retry: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -165,20 +152,15 @@
     pub took: Span,
     /// Set once the batch is over, by this outcome or before it.
     pub over: bool,
-    /// The work and memory that the batch needed, where answers tell.
+    /// The work that the batch needed, where answers tell.
     pub work: Option<Span>,
-    pub memory_mb: Option<f64>,
     pub report: Report,
 }
 
-/// An engine's load as it says itself: late and noisy.
+/// An engine's load as it says itself, late and noisy: how many batches it holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
     pub in_hand: Option<f64>,
-    pub waiting: Option<f64>,
-    pub busy: Option<f64>,
-    pub memory: Option<f64>,
-    pub disks: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -11,10 +11,8 @@
 pub fn group(utility: f64, threads: f64, effect: Effect) -> ServiceGroup {
     ServiceGroup {
         utility,
-        late_share: 0.1,
         goal: Span::from_millis(1000),
         goal_stretch: 2.0,
-        time_limit: Span::from_millis(20_000),
         effect,
         in_order: false,
         threads,
@@ -43,7 +41,6 @@
                 me: 0,
                 zone: 0,
                 kinds: vec![Kind { cores: 8.0, memory_mb: 16_000.0 }; 2],
-                reports_in_answers: true,
             },
             groups: vec![
                 group(1.0, 1.0, Effect::Repeatable),
@@ -103,7 +100,7 @@
 }
 
 pub fn engine() -> Engine {
-    Engine { zone: 0, kind: 0, cell: 0, state: EngineState::Ready, size: 1.0, started: None }
+    Engine { zone: 0, kind: 0, cell: 0, state: EngineState::Ready, started: None }
 }
 
 pub fn batch(group: usize) -> Batch {
@@ -115,7 +112,6 @@
         work: Some(Span::from_millis(200)),
         memory_mb: Some(100.0),
         data_set: 0,
-        client_retry: false,
     }
 }
 
@@ -151,7 +147,6 @@
             took: Span::from_millis(took_ms),
             over: outcome == Outcome::Returned,
             work: None,
-            memory_mb: None,
             report,
         };
         self.policy.after(ms(at), b, number, &answer)
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -338,8 +338,7 @@
             let at = round * 250;
             let one = Batch { time_limit: ms(at + 9000), ..batch(LOOK_UP) };
             for b in std::mem::take(&mut out) {
-                let in_hand = times.map(|t| t * 6.0);
-                let report = Report { in_hand, ..Report::default() };
+                let report = Report { in_hand: times.map(|t| t * 6.0) };
                 front.end_with(at, b, Outcome::Returned, 100, report);
             }
             while let (b, Place::Send(_)) = front.take(at, one.clone()) {
@@ -480,7 +479,7 @@
 
 #[test]
 fn a_customer_beyond_its_share_leaves_room_for_the_others() {
-    let customers = vec![Customer { share: 0.5, allowance: 2.0 }, Customer { share: 0.5, allowance: 100.0 }];
+    let customers = vec![Customer { allowance: 2.0 }, Customer { allowance: 100.0 }];
     let mut front = Rig { customers, ..Rig::default() }.start(1);
     let of = |customer| Batch { customer: Some(customer), ..batch(LOOK_UP) };
     let first = (0..40).filter(|_| sent_to(front.take(0, of(0)).1).is_some()).count();
