A first guess of work from the response goal, so that the cold rule never starts from none

Found on reading: without estimates, or from one tiny first estimate after a front's restart, a batch weighed next to nothing and a cold engine was open to any number of them. The guess fades over the first estimates. May underfeed cold engines for the first seconds of a restarted front.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,6 +40,8 @@
 const NOTE_SLACK: f64 = 1.6;
 // What this front spends of its part of the cold rule's budget: estimates of work scatter.
 const COLD_SPEND: f64 = 0.85;
+// The first guess of a group's work weighs as much as this many estimates.
+const PRIOR: f64 = 4.0;
 // Response goals that a dispatch without notes is waited for while another may follow.
 const BLIND_WAIT: f64 = 1.5;
 // A dispatch that its pace makes this many times the usual stretch of its estimate has gone wrong.
@@ -335,8 +337,9 @@
 }
 
 impl Usual {
-    fn new() -> Usual {
-        let (hinted, lean, told, count) = (0.0, 1.0, None, 0.0);
+    /// Until estimates come, as much work as the response goal has room for: the cold rule must not start from none.
+    fn new(group: &ServiceGroup) -> Usual {
+        let (hinted, lean, told, count) = (group.goal.secs() * group.threads.max(1.0), 1.0, None, 0.0);
         Usual { hinted, lean, told, count, stretch: 1.5, astray: ASTRAY, grant: GRANT_FIRST }
     }
 
@@ -354,7 +357,7 @@
     fn hint(&mut self, hint: Option<Span>) {
         let Some(hint) = hint else { return };
         self.count = (self.count + 1.0).min(500.0);
-        self.hinted += (hint.secs() - self.hinted) / self.count;
+        self.hinted += (hint.secs() - self.hinted) / (self.count + PRIOR);
     }
 
     /// A dispatch whose pace foretells more than this has gone astray; without an estimate none has.
@@ -529,7 +532,7 @@
     ) -> Policy {
         let ranks = rank(&groups);
         let threads: Vec<f64> = groups.iter().map(|g| g.threads.max(1.0)).collect();
-        let usual = groups.iter().map(|_| Usual::new()).collect();
+        let usual = groups.iter().map(Usual::new).collect();
         let shares = Shares::new(&customers, fleet.fronts);
         Policy {
             asked: threads.clone(),
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -152,6 +152,18 @@
     }
 }
 
+#[test]
+fn rule_4_holds_for_the_first_batches_of_a_front() {
+    // (estimate of the first in ms, most that a cold engine gets of them at once); the goal has room for 1 s each
+    for (work, most) in [(None, 7), (Some(1000), 7)] {
+        let mut front = Rig::default().start(0);
+        front.policy.engine(ms(0), 0, Engine { started: Some(ms(0)), ..engine() });
+        let one = Batch { work: work.map(Span::from_millis), ..batch(LOOK_UP) };
+        let sent = (0..12).filter(|_| sent_to(front.take(0, one.clone()).1).is_some()).count();
+        assert!((1..=most).contains(&sent), "{work:?}: {sent} sent");
+    }
+}
+
 #[test]
 fn rule_5_batches_of_one_key_take_turns_and_the_key_rests() {
     // outcome of the first, whether the client left it, then when the second may go: at the end, or after the
