One place each for what the module did twice; dead interface pieces out

A batch's leaving (with its key) stood in two places, the count of dispatches left in two, the response goal was reached by borrowing around in three; odd settings were made sound at each use and are now at the door, as is a key of a group without order. What an outcome says of an engine's health is one match. Place::Lift and the setting behind it, which nothing answered or read, are gone; engines are plain copied values. Assertions kept; two added, since taking out the new door checks failed no test before.

--- a/adapter/src/front.rs
+++ b/adapter/src/front.rs
@@ -66,8 +66,8 @@
     }
 
     pub fn report(&self, values: &[f64]) -> Report {
-        let fields = self.report_fields.iter().zip(values);
-        Report { in_hand: fields.filter(|(name, _)| *name == "concurrent").map(|(_, v)| *v).next() }
+        let mut fields = self.report_fields.iter().zip(values);
+        Report { in_hand: fields.find(|(name, _)| *name == "concurrent").map(|(_, v)| *v) }
     }
 
     /// The list's entries: all of them, or changes only.
@@ -81,7 +81,7 @@
                 named.push(false);
             }
             named[e] = true;
-            self.policy.engine(now, e, engine.clone());
+            self.policy.engine(now, e, *engine);
         }
         if whole {
             for e in (0..named.len()).filter(|e| !named[*e]) {
@@ -182,9 +182,6 @@
                     self.slots[b].over = true;
                 }
                 Place::CallOff(number) => reply.call_off(who, id, number),
-                Place::Lift(memory_mb, priority) => {
-                    reply.resources(who, id, memory_mb.unwrap_or(0.0) as f32, priority)
-                }
             }
         }
         let at = self.policy.wait(now, b);
--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -53,7 +53,6 @@
     grants: bool,
     note_period: u64,
     out_of_memory: String,
-    ranks_heeded: bool,
     size_cores: Vec<f64>,
     size_mb: Vec<f64>,
     threads_by_class: Vec<f64>,
@@ -137,7 +136,7 @@
     let s = &raw.safety;
     Ok(Settings {
         fleet: Fleet {
-            fronts: raw.instances.max(1),
+            fronts: raw.instances,
             me: raw.me,
             zone: raw.az,
             kinds: (0..kinds)
@@ -155,7 +154,6 @@
             come_back: if raw.caps.retry_after { some(raw.caps.max_retry_after) } else { None },
             sets_memory: raw.domain.grants,
             memory_pages: raw.domain.out_of_memory == "swap",
-            sets_priority: raw.domain.ranks_heeded,
             notes_every: some(raw.domain.note_period),
             clock_step: us(raw.period),
         },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -78,7 +78,6 @@
     /// The longest time to come back that clients heed, where they are told one at all.
     pub come_back: Option<Span>,
     pub sets_memory: bool,
-    pub sets_priority: bool,
     /// Short of memory an engine lets all in and slows down, rather than have them wait or spill.
     pub memory_pages: bool,
     /// Time between notes on a dispatch that is out, where there are notes.
@@ -104,7 +103,7 @@
     pub per_batch: f64,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Engine {
     pub zone: usize,
     pub kind: usize,
@@ -185,8 +184,6 @@
     Error,
     /// Quit waiting for the dispatch of this number.
     CallOff(u8),
-    /// Same memory, new priority for what is out.
-    Lift(Option<f64>, u8),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -96,9 +96,9 @@
 impl Budgets {
     fn new(cores: f64, fronts: usize, thread_shares: &[f64]) -> Budgets {
         let ceiling = (cores * THREADS_A_CORE).max(1.0);
-        let budget = thread_shares.iter().map(|s| ceiling / fronts.max(1) as f64 * s).collect();
+        let budget = thread_shares.iter().map(|s| ceiling / fronts as f64 * s).collect();
         let running = vec![0.0; thread_shares.len()];
-        let share = 1.0 / fronts.max(1) as f64;
+        let share = 1.0 / fronts as f64;
         let bears = ceiling * share;
         Budgets {
             budget,
@@ -244,7 +244,7 @@
 
 impl Shares {
     fn new(customers: &[Customer], fronts: usize) -> Shares {
-        let rates: Vec<f64> = customers.iter().map(|c| c.allowance / fronts.max(1) as f64).collect();
+        let rates: Vec<f64> = customers.iter().map(|c| c.allowance / fronts as f64).collect();
         Shares { left: rates.iter().map(|r| (r * SHARE_DEPTH.secs(), At::default())).collect(), rates }
     }
 
@@ -286,7 +286,7 @@
         }
         let spent: f64 = self.sent.iter().map(|(_, w)| w).sum();
         let all = rule.multiple * warm * cores * 0.85 * rule.window.secs();
-        spent + work <= all * COLD_SPEND / fronts.max(1) as f64
+        spent + work <= all * COLD_SPEND / fronts as f64
     }
 }
 
@@ -337,9 +337,10 @@
 }
 
 impl Usual {
-    /// Until estimates come, as much work as the response goal has room for: the cold rule must not start from none.
+    /// Until estimates come, as much work as the response goal has room for: the cold rule must not start
+    /// from none.
     fn new(group: &ServiceGroup) -> Usual {
-        let (hinted, lean, told, count) = (group.goal.secs() * group.threads.max(1.0), 1.0, None, 0.0);
+        let (hinted, lean, told, count) = (group.goal.secs() * group.threads, 1.0, None, 0.0);
         Usual { hinted, lean, told, count, stretch: 1.5, astray: ASTRAY, grant: GRANT_FIRST }
     }
 
@@ -452,6 +453,12 @@
     over: bool,
 }
 
+impl Held {
+    fn is_spent(&self, caps: &Caps) -> bool {
+        self.dispatches > MOST_FURTHER || self.dispatches >= caps.most_dispatches
+    }
+}
+
 pub struct Policy {
     fleet: Fleet,
     groups: Vec<ServiceGroup>,
@@ -482,6 +489,11 @@
     groups.iter().map(|g| groups.iter().filter(|o| before(o, g)).count().min(RANKS.len() - 1)).collect()
 }
 
+/// When an answer is late: the group's response goal, stretched by the work.
+fn late_after(group: &ServiceGroup, work: Option<f64>) -> Span {
+    group.goal + Span::from_secs(group.goal_stretch * work.unwrap_or(0.0) / group.threads)
+}
+
 /// Rule 2's first question. Whatever else came back, the dispatch may have run.
 fn proves_not_run(outcome: Outcome) -> bool {
     matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
@@ -498,7 +510,7 @@
 }
 
 /// Rule 2: whether a further dispatch may go to this engine now.
-fn may_repeat(effect: Effect, first: Option<(&Engine, At)>, to: &Engine, now: At, step: Span) -> bool {
+fn may_repeat(effect: Effect, first: Option<(Engine, At)>, to: &Engine, now: At, step: Span) -> bool {
     let Some((ran_on, at)) = first else { return true };
     match effect {
         Effect::Repeatable => true,
@@ -523,15 +535,18 @@
 impl Policy {
     pub fn new(
         seed: u64,
-        fleet: Fleet,
-        groups: Vec<ServiceGroup>,
+        mut fleet: Fleet,
+        mut groups: Vec<ServiceGroup>,
         customers: Vec<Customer>,
         caps: Caps,
         (cold, key_quiet): (ColdRule, Span),
         ration: Option<RationRule>,
     ) -> Policy {
+        // Odd settings are made sound here, once: no part below asks again.
+        fleet.fronts = fleet.fronts.max(1);
+        groups.iter_mut().for_each(|g| g.threads = g.threads.max(1.0));
         let ranks = rank(&groups);
-        let threads: Vec<f64> = groups.iter().map(|g| g.threads.max(1.0)).collect();
+        let threads: Vec<f64> = groups.iter().map(|g| g.threads).collect();
         let usual = groups.iter().map(Usual::new).collect();
         let shares = Shares::new(&customers, fleet.fronts);
         Policy {
@@ -593,13 +608,14 @@
         }
     }
 
-    pub fn take(&mut self, now: At, b: usize, batch: Batch) {
+    pub fn take(&mut self, now: At, b: usize, mut batch: Batch) {
         self.ration.count(now, false);
         let g = batch.group;
         self.asked.iter_mut().for_each(|asked| *asked *= 0.999);
         self.asked[g] += self.threads[g];
         self.usual[g].hint(batch.work);
-        if let (true, Some(key)) = (self.groups[g].in_order, batch.key) {
+        batch.key = batch.key.filter(|_| self.groups[g].in_order);
+        if let Some(key) = batch.key {
             self.keys.join(key, b);
         }
         let work = self.usual[g].work(batch.work);
@@ -629,20 +645,16 @@
         if !held.out.is_empty() {
             return self.look_at_out(now, b);
         }
-        let group = &self.groups[held.batch.group];
         if now >= self.last_moment(held) {
             return self.give_up(now, b);
         }
-        if let (true, Some(key)) = (group.in_order, held.batch.key)
+        if let Some(key) = held.batch.key
             && !self.keys.has_turn(key, b, now, held.dispatches > 0)
         {
             return Place::NotYet;
         }
-        if held.dispatches > 0 {
-            let spent = held.dispatches > MOST_FURTHER || held.dispatches >= self.caps.most_dispatches;
-            if self.overloaded || spent || !self.ration.allows(now) {
-                return self.give_up(now, b);
-            }
+        if held.dispatches > 0 && (self.overloaded || held.is_spent(&self.caps) || !self.ration.allows(now)) {
+            return self.give_up(now, b);
         }
         match self.choose(now, b) {
             Some(e) => self.send(now, b, e),
@@ -652,26 +664,20 @@
 
     /// What to do after this outcome.
     pub fn after(&mut self, now: At, b: usize, number: u8, answer: &Answer) -> Next {
-        let Some((g, work)) = self.batches.get(b).and_then(|h| h.as_ref()).map(|h| (h.batch.group, h.work))
-        else {
-            return Next::Over;
-        };
-        let goal = self.goal(g, answer.work.map(|w| w.secs()).or(work));
-        let Some(held) = self.batches[b].as_mut() else { return Next::Over };
+        let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) else { return Next::Over };
         let Some(i) = held.out.iter().position(|o| o.number == number) else { return Next::Over };
         let out = held.out.remove(i);
+        let g = held.batch.group;
         let group = &self.groups[g];
+        let goal = late_after(group, answer.work.map(|w| w.secs()).or(held.work));
         held.over |= answer.over;
         if !proves_not_run(answer.outcome) && held.may_have_run.is_none_or(|(_, at)| out.sent < at) {
             held.may_have_run = Some((out.engine, out.sent));
         }
-        if let (true, Some(key)) = (group.in_order, held.batch.key) {
-            if matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff) {
-                self.keys.unsure(key, now + self.keys.quiet);
-            }
-            if held.over && held.out.is_empty() {
-                self.keys.leave(key, b, now);
-            }
+        if let Some(key) = held.batch.key
+            && matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff)
+        {
+            self.keys.unsure(key, now + self.keys.quiet);
         }
         let Some(engine) = self.engines[out.engine].as_mut() else { return Next::Over };
         engine.budgets.running[g] = (engine.budgets.running[g] - self.threads[g]).max(0.0);
@@ -706,11 +712,13 @@
             _ => {}
         }
         // A time-out at an engine that answered others meanwhile is load, which the budgets answer.
-        let silent = answer.outcome == Outcome::TimedOut && engine.heard <= out.sent;
-        let bad =
-            silent || matches!(answer.outcome, Outcome::ConnectFailed | Outcome::Reset | Outcome::Errored);
-        let load = answer.outcome == Outcome::TimedOut && !silent;
-        if !load && !matches!(answer.outcome, Outcome::Moot | Outcome::CalledOff | Outcome::Full) {
+        let bad = match answer.outcome {
+            Outcome::Returned => Some(false),
+            Outcome::ConnectFailed | Outcome::Reset | Outcome::Errored => Some(true),
+            Outcome::TimedOut if engine.heard <= out.sent => Some(true),
+            _ => None,
+        };
+        if let Some(bad) = bad {
             if answer.outcome != Outcome::TimedOut {
                 engine.heard = now;
             }
@@ -720,9 +728,7 @@
             }
         }
         let over = held.over;
-        if over && held.out.is_empty() {
-            self.batches[b] = None;
-        }
+        self.let_go(now, b);
         if over { Next::Over } else { Next::Ask }
     }
 
@@ -770,7 +776,7 @@
         let floors: f64 = self.threads.iter().sum();
         // Calm lets the bounds of all fronts grow to the whole engine each, and the next surge stuffs it.
         // Where engines tell what they hold, a front's bound ends a little over its share of that.
-        let even = 1.0 / self.fleet.fronts.max(1) as f64;
+        let even = 1.0 / self.fleet.fronts as f64;
         let (own, all) = self.held_there;
         let most = if all > 0.0 { (SHARE_ROOM * (own / all).max(even)).min(1.0) } else { 1.0 };
         let (mut ready, mut congested) = (0.0, 0.0);
@@ -778,7 +784,7 @@
         let mut overdue = vec![(0.0, 0.0); self.engines.len()];
         for held in self.batches.iter().flatten() {
             let g = held.batch.group;
-            let goal = self.goal(g, held.work);
+            let goal = late_after(&self.groups[g], held.work);
             let astray = self.usual[g].astray_from(held.work, self.threads[g]);
             for out in &held.out {
                 let (late, all) = &mut overdue[out.engine];
@@ -834,19 +840,12 @@
         held.batch.time_limit - self.caps.clock_step * 3.0
     }
 
-    /// When an answer is late: the group's response goal, stretched by the work.
-    fn goal(&self, g: usize, work: Option<f64>) -> Span {
-        let group = &self.groups[g];
-        group.goal + Span::from_secs(group.goal_stretch * work.unwrap_or(0.0) / self.threads[g])
-    }
-
     /// The ready engine with most free budget of the batch's group, of those that the rules leave open.
     fn choose(&mut self, now: At, b: usize) -> Option<usize> {
         let held = self.batches[b].as_ref()?;
         let g = held.batch.group;
         let group = &self.groups[g];
-        let first = held.may_have_run.and_then(|(e, at)| Some((self.engines[e].as_ref()?.told.clone(), at)));
-        let first = first.as_ref().map(|(engine, at)| (engine, *at));
+        let first = held.may_have_run.and_then(|(e, at)| Some((self.engines[e].as_ref()?.told, at)));
         let mean = self.usual[g].mean();
         // With most engines judged failing the judgement itself is in doubt: go by budgets alone. Full but
         // sound ones count: what they have no room for must not spill onto a failing one.
@@ -893,7 +892,6 @@
     }
 
     fn send(&mut self, now: At, b: usize, e: usize) -> Place {
-        let goal = self.batches[b].as_ref().map_or(Span::ZERO, |h| self.goal(h.batch.group, h.work));
         let (Some(held), Some(engine)) = (self.batches[b].as_mut(), self.engines[e].as_mut()) else {
             return Place::NotYet;
         };
@@ -939,9 +937,9 @@
         // Ends before the time limit, so that the answer it still calls for is in time.
         let whole = held.batch.time_limit.since(now + self.caps.clock_step * 2.0);
         // With no notes to show silence, what may run again is given up in time for another engine.
-        let last = held.dispatches > MOST_FURTHER || held.dispatches >= self.caps.most_dispatches;
-        let blind = self.caps.notes_every.is_none() && group.effect == Effect::Repeatable && !last;
-        let time_out = if blind { whole.min(goal * BLIND_WAIT) } else { whole };
+        let more = group.effect == Effect::Repeatable && !held.is_spent(&self.caps);
+        let blind = self.caps.notes_every.is_none() && more;
+        let time_out = if blind { whole.min(late_after(group, held.work) * BLIND_WAIT) } else { whole };
         Place::Send(Dispatch { engine: e, time_out, memory_mb, priority })
     }
 
@@ -949,22 +947,20 @@
     /// group's: a bad plan, a slow engine or a spill all look so, and a fresh dispatch, or none, costs less
     /// than the rest of it.
     fn look_at_out(&mut self, now: At, b: usize) -> Place {
-        let Some((g, work)) = self.batches[b].as_ref().map(|h| (h.batch.group, h.work)) else {
-            return Place::NotYet;
-        };
-        let late_after = self.goal(g, work);
         let Some(held) = self.batches[b].as_mut() else { return Place::NotYet };
-        if self.groups[g].effect != Effect::Repeatable || !self.caps.call_off {
+        let g = held.batch.group;
+        let group = &self.groups[g];
+        if group.effect != Effect::Repeatable || !self.caps.call_off {
             return Place::NotYet;
         }
         let usual = self.usual[g].astray_from(held.work, self.threads[g]);
-        let goal = self.groups[g].goal;
+        let late_after = late_after(group, held.work);
         // Once: what is as slow elsewhere was estimated wrong, and calling it off again only wastes more.
         let may = !held.went_astray;
         for out in held.out.iter_mut().filter(|o| !o.called_off) {
             let failing = self.engines[out.engine].as_ref().is_some_and(|e| e.health.failing);
             let silent = self.caps.notes_every.is_some_and(|n| now.since(out.heard) > n * NOTE_SLACK);
-            let astray = may && out.foretold.is_some_and(|f| f > usual && f > goal);
+            let astray = may && out.foretold.is_some_and(|f| f > usual && f > group.goal);
             // Behind a holder past its goal it only keeps memory that an engine in need of it pages for.
             let stuck = self.caps.memory_pages && out.stood && now.since(out.sent) > late_after;
             if (failing && silent) || astray || stuck {
@@ -986,13 +982,18 @@
     }
 
     fn end(&mut self, now: At, b: usize) {
-        let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) else { return };
-        held.over = true;
-        if held.out.is_empty() {
-            if let (true, Some(key)) = (self.groups[held.batch.group].in_order, held.batch.key) {
-                self.keys.leave(key, b, now);
-            }
-            self.batches[b] = None;
+        if let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) {
+            held.over = true;
+            self.let_go(now, b);
+        }
+    }
+
+    /// A batch leaves once it is over and nothing of it is out, and its key with it.
+    fn let_go(&mut self, now: At, b: usize) {
+        if let Some(held) = self.batches[b].take_if(|h| h.over && h.out.is_empty())
+            && let Some(key) = held.batch.key
+        {
+            self.keys.leave(key, b, now);
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,7 +53,6 @@
                 most_dispatches: 5,
                 come_back: Some(Span::from_millis(500)),
                 sets_memory: true,
-                sets_priority: true,
                 notes_every: Some(Span::from_millis(1000)),
                 clock_step: Span::from_millis(5),
                 ..Caps::default()
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -104,12 +104,12 @@
     let (kind_1, zone_1) = (Engine { kind: 1, ..engine() }, Engine { zone: 1, ..engine() });
     let cases = [
         // engines, kinds and zones allowed, where it goes
-        (vec![gone.clone(), engine()], None, None, Some(1)),
-        (vec![draining.clone(), gone.clone()], None, None, None),
+        (vec![gone, engine()], None, None, Some(1)),
+        (vec![draining, gone], None, None, None),
         (vec![], None, None, None),
-        (vec![engine(), kind_1.clone()], Some(vec![1]), None, Some(1)),
+        (vec![engine(), kind_1], Some(vec![1]), None, Some(1)),
         (vec![engine(), Engine { state: EngineState::Draining, ..kind_1 }], Some(vec![1]), None, None),
-        (vec![engine(), zone_1.clone()], None, Some(vec![1]), Some(1)),
+        (vec![engine(), zone_1], None, Some(vec![1]), Some(1)),
         (vec![engine(), zone_1], Some(vec![1]), Some(vec![1]), None),
     ];
     for (i, (engines, kinds, zones, to)) in cases.into_iter().enumerate() {
@@ -154,7 +154,8 @@
 
 #[test]
 fn rule_4_holds_for_the_first_batches_of_a_front() {
-    // (estimate of the first in ms, most that a cold engine gets of them at once); the goal has room for 1 s each
+    // (estimate of the first in ms, most that a cold engine gets of them at once); the goal has room for 1 s
+    // each
     for (work, most) in [(None, 7), (Some(1000), 7)] {
         let mut front = Rig::default().start(0);
         front.policy.engine(ms(0), 0, Engine { started: Some(ms(0)), ..engine() });
@@ -184,6 +185,8 @@
         let (second, place) = front.take(1, keyed(9));
         assert_eq!(place, Place::NotYet);
         assert!(sent_to(front.take(1, keyed(8)).1).is_some(), "another key is free");
+        let unordered = Batch { key: Some(9), ..batch(LOOK_UP) };
+        assert!(sent_to(front.take(1, unordered).1).is_some(), "its group asks for no order");
         if left {
             front.policy.client_left(ms(50), first);
             assert_eq!(
@@ -544,6 +547,8 @@
             let (b, place) =
                 front.take(0, Batch { work: None, memory_mb: None, customer: Some(0), ..batch(REPORT) });
             assert_eq!(sent_to(place).is_some(), engines == 1, "case {i}");
+            let more = (0..40).filter(|_| sent_to(front.take(0, batch(LOOK_UP)).1).is_some()).count();
+            assert!(more < 40, "case {i}: nothing binds");
             front.policy.tick(ms(250));
             if engines == 1 {
                 assert_eq!(front.end(300, b, 0, Outcome::Returned, 300), Next::Over);
