Bounds, budgets and lateness under one batch add up over engines: no jam at full size

Change: where the bound is under a batch, what the bounds of all open engines add up to binds as well (cold ones by their warmth); budgets likewise; each engine's lateness is weighed with that of all; floors are a part of a batch; steps go by the even share. Also guards against: any fleet of more fronts than cores. It may hurt a front with far more than an even share, which must learn its way up.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -103,7 +103,7 @@
     pub per_batch: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Engine {
     pub zone: usize,
     pub kind: usize,
@@ -113,14 +113,15 @@
     pub started: Option<At>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EngineState {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Batch {
     pub group: usize,
     pub customer: Option<usize>,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,6 +19,9 @@
 const LATE_SHARE: f64 = 0.25;
 // What was heard counts this much a tick later.
 const FADE: f64 = 0.8;
+// Answers of all engines together, at their late share, that each engine's own are weighed with: a front that
+// is one of many hears next to nothing of any one.
+const POOLED: f64 = 4.0;
 // Less than this many answers, faded, is hearing nothing.
 const HEARD: f64 = 0.25;
 const THREADS_A_CORE: f64 = 1.5;
@@ -46,10 +49,6 @@
 const BLIND_WAIT: f64 = 1.5;
 // A dispatch that its pace makes this many times the usual stretch of its estimate has gone wrong.
 const ASTRAY: f64 = 4.0;
-// How the bound of the last line moves when a batch called off takes as long again, and when it does not.
-const ASTRAY_STEPS: (f64, f64) = (1.5, 0.95);
-// Up to this share of the bound that last read late, more is surely borne.
-const SURE: f64 = 0.7;
 // Threads of free budget that a data set read there lately is worth, and an engine in this front's own zone.
 const WARM_WORTH: f64 = 2.0;
 const WARM_SETS: usize = 4;
@@ -66,8 +65,6 @@
 const GRANT_FIRST: f64 = 1.25;
 const GRANT_STEPS: (f64, f64) = (1.07, 0.99);
 const GRANT_BOUNDS: (f64, f64) = (0.3, 5.0);
-// With more than this share of an engine's memory granted, spills tell nothing of the estimate.
-const MEMORY_TELLS: f64 = 0.8;
 // The front sees overload while this part of the ready engines reads congested.
 const OVERLOAD_SHARE: f64 = 0.5;
 
@@ -80,9 +77,6 @@
     /// Threads of all groups together that this front has seen the engine bear.
     bears: f64,
     least: f64,
-    /// The bound when it last began to read late.
-    late_from: f64,
-    was_late: bool,
     batches: usize,
     /// The part of a step that this front takes: all add up, and each hears its part of the answers.
     share: f64,
@@ -100,16 +94,7 @@
         let running = vec![0.0; thread_shares.len()];
         let share = 1.0 / fronts as f64;
         let bears = ceiling * share;
-        Budgets {
-            budget,
-            running,
-            ceiling,
-            bears,
-            least: bears * LEAST_BORNE,
-            late_from: ceiling.min(bears * 2.0),
-            share: share * (2.0 * share).min(1.0),
-            ..Budgets::default()
-        }
+        Budgets { budget, running, ceiling, bears, least: bears * LEAST_BORNE, share, ..Budgets::default() }
     }
 
     fn free(&self, group: usize) -> f64 {
@@ -117,17 +102,20 @@
     }
 
     /// Budgets bind only while the last tick read congested.
-    fn has_room(&self, group: usize, threads: f64, within_share: bool) -> bool {
-        if !within_share && (self.congested || self.fill() >= self.bears * BEYOND_SHARE_FILL) {
+    fn has_room(&self, group: usize, threads: f64, within_share: bool, pool: &Pool) -> bool {
+        if !within_share && (self.congested || self.is_full(threads, pool, BEYOND_SHARE_FILL)) {
             return false;
         }
-        !(self.congested || self.is_full()) || self.free(group) >= threads
+        // A budget under one batch has room for it while the budgets of all engines add up to that.
+        let adds_up = self.budget[group] < threads && self.running[group] <= 0.0 && pool.free >= threads;
+        !(self.congested || self.is_full(threads, pool, 1.0)) || self.free(group) >= threads || adds_up
     }
 
     /// Lateness shows only after a response goal, by when an engine that takes all overflow is stuffed. So it
-    /// also reads congested while more is out there than it has borne on time.
-    fn is_full(&self) -> bool {
-        self.fill() >= self.bears
+    /// also reads congested while more is out there than it has borne on time. A bound under one batch lets
+    /// each front send one to every engine: then what the bounds of all engines add up to counts as well.
+    fn is_full(&self, threads: f64, pool: &Pool, part: f64) -> bool {
+        self.fill() >= self.bears * part || self.bears < threads && pool.fill >= pool.bears * part
     }
 
     fn fill(&self) -> f64 {
@@ -140,22 +128,19 @@
         ranks: &[usize],
         threads: &[f64],
         (overdue, out): (f64, f64),
-        floors: bool,
+        (pool, full): (&Pool, bool),
+        floor: f64,
         most: f64,
     ) {
-        let (was, was_late) = (self.congested, self.was_late);
-        let late = self.jammed || self.late + overdue > HEARD.max((self.answers + out) * LATE_SHARE);
+        let was = self.congested;
+        let (late, all) = (self.late + overdue + POOLED * pool.late_share(), self.answers + out + POOLED);
+        let late = self.jammed || late > HEARD.max(all * LATE_SHARE);
         let step = TICK.secs();
-        let full = self.is_full();
         if late {
-            self.late_from = if was_late { self.late_from } else { self.bears };
             self.bears = (self.bears * RANKS[0].1.powf(step)).max(self.least);
-        } else if full && self.answers > HEARD {
-            // Fast up to near where it was last late, then by this front's share.
-            let share = if self.bears < self.late_from * SURE { 1.0 } else { self.share };
-            self.bears = (self.bears + RANKS[0].0 * step * share).min(self.ceiling * most);
+        } else if full && pool.answers > HEARD {
+            self.bears = (self.bears + RANKS[0].0 * step * self.share).min(self.ceiling * most);
         }
-        self.was_late = late;
         // A tick that heard nothing while something is out has read nothing.
         self.congested = late || full || (was && self.answers <= HEARD && out > 0.0);
         for (g, budget) in self.budget.iter_mut().enumerate() {
@@ -170,14 +155,44 @@
                 (false, true) => *budget,
                 _ => *budget + add * step,
             };
-            let floor = if floors { threads[g] } else { 0.0 };
-            *budget = budget.min(self.ceiling.max(threads[g])).max(floor);
+            *budget = budget.min(self.ceiling.max(threads[g])).max(threads[g] * floor);
         }
         // Single late answers on thin traffic are chance: what was heard fades over a few ticks.
         (self.answers, self.late, self.jammed) = (self.answers * FADE, self.late * FADE, false);
     }
 }
 
+/// What the engines open to a service group show together. An even share of one engine may be less than one
+/// batch, and what a front hears of it next to nothing; both add up over engines, however many fronts there
+/// are.
+#[derive(Default)]
+struct Pool {
+    bears: f64,
+    fill: f64,
+    free: f64,
+    answers: f64,
+    late: f64,
+    heard: f64,
+}
+
+impl Pool {
+    fn add(&mut self, b: &Budgets, group: usize, warm: f64) {
+        self.bears += b.bears * warm;
+        self.fill += b.fill();
+        self.free += b.free(group);
+    }
+
+    fn hear(&mut self, b: &Budgets, (overdue, out): (f64, f64)) {
+        self.answers += b.answers;
+        self.late += b.late + overdue;
+        self.heard += b.answers + out;
+    }
+
+    fn late_share(&self) -> f64 {
+        self.late / (self.heard + POOLED)
+    }
+}
+
 /// Rule 7: further dispatches of this front within the ration of any window since its start.
 struct Ration {
     rule: Option<RationRule>,
@@ -330,8 +345,6 @@
     count: f64,
     /// Time taken over the estimated time, as it mostly is lately.
     stretch: f64,
-    /// Times the usual stretch beyond which a dispatch counts as astray: more where going again did not help.
-    astray: f64,
     /// Memory granted over the estimate, so that few spill.
     grant: f64,
 }
@@ -341,7 +354,7 @@
     /// from none.
     fn new(group: &ServiceGroup) -> Usual {
         let (hinted, lean, told, count) = (group.goal.secs() * group.threads, 1.0, None, 0.0);
-        Usual { hinted, lean, told, count, stretch: 1.5, astray: ASTRAY, grant: GRANT_FIRST }
+        Usual { hinted, lean, told, count, stretch: 1.5, grant: GRANT_FIRST }
     }
 
     fn work(&self, hint: Option<Span>) -> Option<f64> {
@@ -363,7 +376,7 @@
 
     /// A dispatch whose pace foretells more than this has gone astray; without an estimate none has.
     fn astray_from(&self, work: Option<f64>, threads: f64) -> Span {
-        work.map_or(Span::from_secs(f64::MAX), |w| Span::from_secs(w / threads * self.stretch * self.astray))
+        work.map_or(Span::from_secs(f64::MAX), |w| Span::from_secs(w / threads * self.stretch * ASTRAY))
     }
 
     fn spilled(&mut self, yes: bool) {
@@ -371,13 +384,8 @@
         self.grant = self.grant.clamp(GRANT_BOUNDS.0, GRANT_BOUNDS.1);
     }
 
-    fn time(&mut self, took: Span, work: f64, threads: f64, went_astray: bool) {
+    fn time(&mut self, took: Span, work: f64, threads: f64) {
         let ratio = (took.secs() * threads / work.max(0.001)).clamp(0.5, 20.0);
-        if went_astray {
-            let again = ratio > self.stretch * ASTRAY;
-            self.astray *= if again { ASTRAY_STEPS.0 } else { ASTRAY_STEPS.1 };
-            self.astray = self.astray.clamp(ASTRAY, 10.0 * ASTRAY);
-        }
         self.stretch *= (ratio / self.stretch).powf(0.03);
     }
 
@@ -398,13 +406,13 @@
     }
 }
 
+#[derive(Default)]
 struct EngineNow {
     told: Engine,
     budgets: Budgets,
     cold: Cold,
     health: Health,
     heard: At,
-    memory_out: f64,
     held: BTreeMap<u32, HeldSet>,
     /// The data sets last sent there, the latest last.
     warm: VecDeque<u32>,
@@ -423,6 +431,7 @@
     }
 }
 
+#[derive(Default)]
 struct Out {
     number: u8,
     engine: usize,
@@ -435,10 +444,9 @@
     spilled: bool,
     /// It stood still behind a holder of its data set: that is no overload.
     stood: bool,
-    /// Its engine had memory to spare when it was sent.
-    tells_memory: bool,
 }
 
+#[derive(Default)]
 struct Held {
     batch: Batch,
     work: Option<f64>,
@@ -589,16 +597,8 @@
         let cores = self.fleet.cores(&told);
         let all: f64 = self.asked.iter().sum();
         let shares: Vec<f64> = self.asked.iter().map(|a| a / all.max(1e-9)).collect();
-        self.engines[e] = Some(EngineNow {
-            told,
-            budgets: Budgets::new(cores, self.fleet.fronts, &shares),
-            cold: Cold::default(),
-            health: Health::default(),
-            heard: now,
-            memory_out: 0.0,
-            held: BTreeMap::new(),
-            warm: VecDeque::new(),
-        });
+        let budgets = Budgets::new(cores, self.fleet.fronts, &shares);
+        self.engines[e] = Some(EngineNow { told, budgets, heard: now, ..EngineNow::default() });
     }
 
     /// A full list leaves out the engines that are gone.
@@ -620,17 +620,7 @@
         }
         let work = self.usual[g].work(batch.work);
         let within_share = self.shares.within(batch.customer, now);
-        let held = Held {
-            batch,
-            work,
-            within_share,
-            out: Vec::new(),
-            dispatches: 0,
-            last_engine: None,
-            went_astray: false,
-            may_have_run: None,
-            over: false,
-        };
+        let held = Held { batch, work, within_share, ..Held::default() };
         if self.batches.len() <= b {
             self.batches.resize_with(b + 1, || None);
         }
@@ -681,13 +671,12 @@
         }
         let Some(engine) = self.engines[out.engine].as_mut() else { return Next::Over };
         engine.budgets.running[g] = (engine.budgets.running[g] - self.threads[g]).max(0.0);
-        engine.memory_out = (engine.memory_out - out.memory_mb.unwrap_or(0.0)).max(0.0);
         if group.holds_data {
             let set = engine.held.entry(held.batch.data_set).or_default();
             set.own = set.own.saturating_sub(1);
         }
         engine.held.retain(|_, h| h.own > 0 || h.noted_till > now);
-        if out.tells_memory && (out.spilled || answer.outcome == Outcome::Returned) {
+        if out.memory_mb.is_some() && (out.spilled || answer.outcome == Outcome::Returned) {
             self.usual[g].spilled(out.spilled);
         }
         let tick = &mut engine.budgets;
@@ -703,7 +692,7 @@
                     tick.late += 1.0;
                 }
                 if let Some(work) = held.work {
-                    self.usual[g].time(answer.took, work, self.threads[g], held.went_astray);
+                    self.usual[g].time(answer.took, work, self.threads[g]);
                 }
                 self.usual[g].learn(held.batch.work, answer.work, answer.took, self.threads[g]);
             }
@@ -800,13 +789,27 @@
                 }
             }
         }
+        let mut all = Pool::default();
+        let mut pools: Vec<Pool> = self.groups.iter().map(|_| Pool::default()).collect();
+        for (e, slot) in self.engines.iter().enumerate() {
+            let Some(x) = slot.as_ref().filter(|x| x.told.state == EngineState::Ready && !x.health.failing)
+            else {
+                continue;
+            };
+            all.hear(&x.budgets, overdue[e]);
+            for (g, pool) in pools.iter_mut().enumerate().filter(|(g, _)| in_place(&self.groups[*g], &x.told))
+            {
+                pool.add(&x.budgets, g, warmth(&self.cold, x.told.started, now));
+            }
+        }
         for (e, slot) in self.engines.iter_mut().enumerate() {
             let Some(engine) = slot else { continue };
+            let mut open = pools.iter().enumerate().filter(|(g, _)| in_place(&self.groups[*g], &engine.told));
+            let full = open.any(|(g, pool)| engine.budgets.is_full(self.threads[g], pool, 1.0));
             let cores = self.fleet.cores(&engine.told);
-            // Floors of many fronts add up to a jam: then each keeps its floors at every k-th engine.
-            let crowd = floors * self.fleet.fronts as f64 / (cores * THREADS_A_CORE);
-            let keeps = (e + self.fleet.me).is_multiple_of(crowd.ceil().max(1.0) as usize);
-            engine.budgets.tick(&self.ranks, &self.threads, overdue[e], keeps, most);
+            // Floors of many fronts add up to a jam: then each keeps a part of them.
+            let floor = (cores * THREADS_A_CORE / (floors * self.fleet.fronts as f64)).min(1.0);
+            engine.budgets.tick(&self.ranks, &self.threads, overdue[e], (&all, full), floor, most);
             // Silence: notes are due from what is out and nothing at all has come from the engine.
             for _ in 0..missed[e].min(2) {
                 if !engine.health.failing && engine.health.see(true, now) {
@@ -850,9 +853,13 @@
         // With most engines judged failing the judgement itself is in doubt: go by budgets alone. Full but
         // sound ones count: what they have no room for must not spill onto a failing one.
         let in_reach = |x: &EngineNow| x.told.state == EngineState::Ready && in_place(group, &x.told);
-        let reach = self.engines.iter().flatten().filter(|x| in_reach(x));
-        let (all, failing) = reach.fold((0, 0), |(n, f), x| (n + 1, f + usize::from(x.health.failing)));
+        let reach = || self.engines.iter().flatten().filter(|x| in_reach(x));
+        let (all, failing) = reach().fold((0, 0), |(n, f), x| (n + 1, f + usize::from(x.health.failing)));
         let trusted = failing as f64 <= all as f64 * MOST_FAILING;
+        let mut pool = Pool::default();
+        for x in reach().filter(|x| !trusted || !x.health.failing) {
+            pool.add(&x.budgets, g, warmth(&self.cold, x.told.started, now));
+        }
         let mut best: Option<(usize, f64)> = None;
         let mut ties = 0u64;
         for (e, slot) in self.engines.iter_mut().enumerate() {
@@ -860,7 +867,7 @@
             // A trial batch is one that may run again. A probe clears none: what answers it may still error.
             let trial = group.effect == Effect::Repeatable && now >= engine.health.trial_at;
             if (trusted && engine.health.failing && !trial)
-                || !engine.budgets.has_room(g, self.threads[g], held.within_share)
+                || !engine.budgets.has_room(g, self.threads[g], held.within_share, &pool)
                 || !may_repeat(group.effect, first, &engine.told, now, self.caps.clock_step)
             {
                 continue;
@@ -908,21 +915,15 @@
         let priority = RANKS[self.ranks[g]].2;
         let estimate = held.batch.memory_mb.filter(|_| self.caps.sets_memory);
         let memory_mb = estimate.map(|m| m * self.usual[g].grant);
-        let size = self.fleet.kinds.get(engine.told.kind).map_or(0.0, |k| k.memory_mb);
-        engine.memory_out += memory_mb.unwrap_or(0.0);
         let (group, set) = (&self.groups[g], held.batch.data_set);
         held.out.push(Out {
             number: held.dispatches as u8,
             engine: e,
             sent: now,
             heard: now,
-            called_off: false,
-            foretold: None,
             memory_mb,
-            spilled: false,
             stood: group.waits_for_holder && engine.holds(set, now),
-            tells_memory: memory_mb.is_some()
-                && engine.memory_out * self.fleet.fronts as f64 <= size * MEMORY_TELLS,
+            ..Out::default()
         });
         held.dispatches += 1;
         held.last_engine = Some(e);
