Probes and reports of others' batches, pooled means, luck at cold engines, growth by calm

What an engine tells of other fronts' batches (or of its cores) counts as taken budget, the more the less this front's own count shows; probes (half a one a batch) fetch it where allowed.

--- a/adapter/src/front.rs
+++ b/adapter/src/front.rs
@@ -3,7 +3,7 @@
 use crate::settings;
 use crate::wire::Reply;
 use larchfall::interface::*;
-use larchfall::policy::Policy;
+use larchfall::policy::{Policy, TICK};
 use larchfall::time::{At, Span};
 use std::collections::{BTreeSet, HashMap};
 
@@ -62,12 +62,12 @@
     }
 
     fn next_tick(&self, now: At, reply: &mut Reply) {
-        reply.schedule(self.who, (now + self.policy.tick_every()).micros(), TICK_TAG);
+        reply.schedule(self.who, (now + TICK).micros(), TICK_TAG);
     }
 
     pub fn report(&self, values: &[f64]) -> Report {
-        let mut fields = self.report_fields.iter().zip(values);
-        Report { in_hand: fields.find(|(name, _)| *name == "concurrent").map(|(_, v)| *v) }
+        let field = |name| self.report_fields.iter().zip(values).find(|(n, _)| *n == name).map(|(_, v)| *v);
+        Report { in_hand: field("concurrent"), busy: field("load_share") }
     }
 
     /// The list's entries: all of them, or changes only.
@@ -141,9 +141,18 @@
         }
     }
 
+    pub fn probed(&mut self, now: At, address: [u8; 6], report: Report) {
+        if let Some(&e) = self.engine_ix.get(&address) {
+            self.policy.probed(now, e, report);
+        }
+    }
+
     pub fn timer(&mut self, now: At, tag: u64, reply: &mut Reply) {
         if tag == TICK_TAG {
             self.policy.tick(now);
+            for e in self.policy.probes() {
+                reply.ping(self.who, self.engines[e]);
+            }
             self.next_tick(now, reply);
             return;
         }
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -136,6 +136,11 @@
             }
             60 => front.client_left(now, r.u32()?, reply),
             70 => front.timer(now, r.u64()?, reply),
+            80 => {
+                let (address, _ending, _rtt) = (r.address()?, r.u8()?, r.u32()?);
+                let report = front.report(&values(&mut r)?);
+                front.probed(now, address, report);
+            }
             110 => {
                 let id = r.u32()?;
                 let (number, _engine, what, level) = (r.u8()?, r.address()?, r.u8()?, r.f32()?);
@@ -148,8 +153,7 @@
                 };
                 front.note(now, id, number, note);
             }
-            // Streams, probe results and peers: no service group streams, no probe is sent, fronts share
-            // nothing.
+            // Streams and peers: no service group streams, fronts share nothing.
             _ => {}
         }
         Ok(Some(who))
--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -26,6 +26,7 @@
 #[serde(default)]
 struct RawCaps {
     cancel: bool,
+    probes: bool,
     max_attempts: usize,
     max_retry_after: u64,
     retry_after: bool,
@@ -81,6 +82,7 @@
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct RawStats {
+    how: String,
     fields: Vec<String>,
 }
 
@@ -150,6 +152,7 @@
         customers: raw.parties.iter().map(|p| Customer { allowance: p.allowance_per_s }).collect(),
         caps: Caps {
             call_off: raw.caps.cancel,
+            probes: raw.caps.probes && matches!(raw.stats.how.as_str(), "answers" | "probe"),
             most_dispatches: raw.caps.max_attempts,
             come_back: if raw.caps.retry_after { some(raw.caps.max_retry_after) } else { None },
             sets_memory: raw.domain.grants,
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -76,6 +76,9 @@
     pub fn call_off(&mut self, who: u32, id: u32, attempt: u8) {
         self.record(40, who, &[&id.to_le_bytes(), &[attempt]]);
     }
+    pub fn ping(&mut self, who: u32, engine: [u8; 6]) {
+        self.record(90, who, &[&engine]);
+    }
     pub fn deny(&mut self, who: u32, id: u32, wait: u32) {
         self.record(110, who, &[&id.to_le_bytes(), &wait.to_le_bytes()]);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -74,6 +74,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Caps {
     pub call_off: bool,
+    /// An engine may be asked for its report.
+    pub probes: bool,
     pub most_dispatches: usize,
     /// The longest time to come back that clients heed, where they are told one at all.
     pub come_back: Option<Span>,
@@ -158,10 +160,11 @@
     pub report: Report,
 }
 
-/// An engine's load as it says itself, late and noisy: how many batches it holds.
+/// An engine's load as it says itself, late and noisy: how many batches it holds, how busy its cores are.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
     pub in_hand: Option<f64>,
+    pub busy: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,14 +14,20 @@
 // Per rank, the highest first: threads added in a calm second, factor of a congested one, priority sent.
 const RANKS: [(f64, f64, u8); 3] = [(1.5, 0.8, 3), (1.0, 0.6, 2), (0.5, 0.4, 1)];
 // Shorter than the page's second, with the steps scaled to it: a jam builds up in less than that.
-const TICK: Span = Span::from_millis(250);
+pub const TICK: Span = Span::from_millis(250);
 // Share of what a tick heard of and what is out that may be late before it reads congested.
-const LATE_SHARE: f64 = 0.25;
+const LATE_SHARE: f64 = 0.2;
 // What was heard counts this much a tick later.
 const FADE: f64 = 0.8;
+// Even shares of a step that a front's bound grows by while nothing is late, and the late share that ends it.
+const PACE: f64 = 3.0;
+const CALM_SHARE: f64 = 0.06;
 // Answers of all engines together, at their late share, that each engine's own are weighed with: a front that
 // is one of many hears next to nothing of any one.
 const POOLED: f64 = 4.0;
+// Few of many fronts peak at once: in a pool the mean counts, moved by this part, up to this many bounds.
+const MEAN_STEP: f64 = 0.125;
+const PEAK: f64 = 3.0;
 // Less than this many answers, faded, is hearing nothing.
 const HEARD: f64 = 0.25;
 const THREADS_A_CORE: f64 = 1.5;
@@ -43,24 +49,26 @@
 const NOTE_SLACK: f64 = 1.6;
 // What this front spends of its part of the cold rule's budget: estimates of work scatter.
 const COLD_SPEND: f64 = 0.85;
-// The first guess of a group's work weighs as much as this many estimates.
-const PRIOR: f64 = 4.0;
-// Response goals that a dispatch without notes is waited for while another may follow.
-const BLIND_WAIT: f64 = 1.5;
+// And what all fronts may expect to send by luck, since that scatters more.
+const COLD_LUCK: f64 = 0.35;
 // A dispatch that its pace makes this many times the usual stretch of its estimate has gone wrong.
 const ASTRAY: f64 = 4.0;
 // Threads of free budget that a data set read there lately is worth, and an engine in this front's own zone.
 const WARM_WORTH: f64 = 2.0;
 const WARM_SETS: usize = 4;
 const ZONE_WORTH: f64 = 1.0;
+// What an engine told of its load counts for this long, less as it ages.
+// Probes a batch taken, where this front's own count shows next to nothing of an engine.
+const PROBES: f64 = 0.5;
+const TOLD_LASTS: Span = Span::from_millis(2000);
 // A customer may run this far ahead of its share; beyond it, it gets engines filled to this part only.
 const SHARE_DEPTH: Span = Span::from_millis(2000);
+// And this many batches, since few come by chance in clusters.
+const SHARE_CHANCE: f64 = 6.0;
 const BEYOND_SHARE_FILL: f64 = 0.7;
 // How far over its share of what engines hold a front's bound may go, and how that share fades an answer.
 const SHARE_ROOM: f64 = 1.75;
 const SHARE_FADE: f64 = 0.998;
-// The part of its first bound that a front's bound never goes under.
-const LEAST_BORNE: f64 = 0.33;
 // Memory over the estimate at first; its steps after a spill and after none: one spill in eight.
 const GRANT_FIRST: f64 = 1.25;
 const GRANT_STEPS: (f64, f64) = (1.07, 0.99);
@@ -76,8 +84,11 @@
     ceiling: f64,
     /// Threads of all groups together that this front has seen the engine bear.
     bears: f64,
-    least: f64,
+    /// Mean of what was out there lately.
+    mean: f64,
     batches: usize,
+    /// Of them past their response goal, or foretold to be.
+    overdue: f64,
     /// The part of a step that this front takes: all add up, and each hears its part of the answers.
     share: f64,
     congested: bool,
@@ -94,7 +105,12 @@
         let running = vec![0.0; thread_shares.len()];
         let share = 1.0 / fronts as f64;
         let bears = ceiling * share;
-        Budgets { budget, running, ceiling, bears, least: bears * LEAST_BORNE, share, ..Budgets::default() }
+        Budgets { budget, running, ceiling, bears, share, ..Budgets::default() }
+    }
+
+    /// How little of the engine this front's own count shows: near one where its bound is under a batch.
+    fn foreign(&self) -> f64 {
+        1.0 / (1.0 + self.bears)
     }
 
     fn free(&self, group: usize) -> f64 {
@@ -123,26 +139,25 @@
     }
 
     /// What is out past its goal reads as late before it answers: a stuffed engine answers nothing at all.
-    fn tick(
-        &mut self,
-        ranks: &[usize],
-        threads: &[f64],
-        (overdue, out): (f64, f64),
-        (pool, full): (&Pool, bool),
-        floor: f64,
-        most: f64,
-    ) {
+    fn tick(&mut self, ranks: &[usize], threads: &[f64], pool: &Pool, full: bool, most: f64) {
         let was = self.congested;
-        let (late, all) = (self.late + overdue + POOLED * pool.late_share(), self.answers + out + POOLED);
-        let late = self.jammed || late > HEARD.max(all * LATE_SHARE);
-        let step = TICK.secs();
+        self.mean += (self.fill() - self.mean) * MEAN_STEP;
+        let late_share = pool.late / (pool.heard + POOLED);
+        let heard = self.answers + self.batches as f64 + POOLED;
+        let late = self.late + self.overdue + POOLED * late_share;
+        let late = self.jammed || late > HEARD.max(heard * LATE_SHARE);
+        let (step, even) = (TICK.secs(), self.ceiling * self.share);
+        // Floors of many fronts add up to a jam: then each keeps a part of them.
+        let floor = (even / threads.iter().sum::<f64>()).min(1.0);
         if late {
-            self.bears = (self.bears * RANKS[0].1.powf(step)).max(self.least);
+            self.bears *= RANKS[0].1.powf(step);
         } else if full && pool.answers > HEARD {
-            self.bears = (self.bears + RANKS[0].0 * step * self.share).min(self.ceiling * most);
+            // Fast while next to nothing is late anywhere; what is late halfway ends it long before it cuts.
+            let calm = (1.0 - late_share / CALM_SHARE).max(0.0) * (PACE * self.share).min(1.0);
+            self.bears = (self.bears + RANKS[0].0 * step * calm).min(self.ceiling * most);
         }
         // A tick that heard nothing while something is out has read nothing.
-        self.congested = late || full || (was && self.answers <= HEARD && out > 0.0);
+        self.congested = late || full || (was && self.answers <= HEARD && self.batches > 0);
         for (g, budget) in self.budget.iter_mut().enumerate() {
             let (add, factor, _) = RANKS[ranks[g]];
             if self.congested && !was {
@@ -159,6 +174,7 @@
         }
         // Single late answers on thin traffic are chance: what was heard fades over a few ticks.
         (self.answers, self.late, self.jammed) = (self.answers * FADE, self.late * FADE, false);
+        self.overdue = 0.0;
     }
 }
 
@@ -178,18 +194,11 @@
 impl Pool {
     fn add(&mut self, b: &Budgets, group: usize, warm: f64) {
         self.bears += b.bears * warm;
-        self.fill += b.fill();
+        self.fill += b.mean.max(b.fill() / PEAK);
         self.free += b.free(group);
-    }
-
-    fn hear(&mut self, b: &Budgets, (overdue, out): (f64, f64)) {
         self.answers += b.answers;
-        self.late += b.late + overdue;
-        self.heard += b.answers + out;
-    }
-
-    fn late_share(&self) -> f64 {
-        self.late / (self.heard + POOLED)
+        self.late += b.late + b.overdue;
+        self.heard += b.answers + b.batches as f64;
     }
 }
 
@@ -225,10 +234,6 @@
 }
 
 impl Keys {
-    fn join(&mut self, key: u64, b: usize) {
-        self.lines.entry(key).or_default().0.push_back(b);
-    }
-
     fn has_turn(&self, key: u64, b: usize, now: At, sent_before: bool) -> bool {
         let Some((line, rests_until)) = self.lines.get(&key) else { return true };
         line.front() == Some(&b) && (sent_before || now >= *rests_until)
@@ -251,24 +256,20 @@
     }
 }
 
-/// Customers' shares: a bucket each, filled at this front's even part of the allowance.
+/// Customers' shares: a bucket each, filled at this front's part of the allowance.
 struct Shares {
-    rates: Vec<f64>,
+    allowances: Vec<f64>,
     left: Vec<(f64, At)>,
 }
 
 impl Shares {
-    fn new(customers: &[Customer], fronts: usize) -> Shares {
-        let rates: Vec<f64> = customers.iter().map(|c| c.allowance / fronts as f64).collect();
-        Shares { left: rates.iter().map(|r| (r * SHARE_DEPTH.secs(), At::default())).collect(), rates }
-    }
-
     /// Whether this batch lies within its customer's share; it then uses some of it up.
-    fn within(&mut self, customer: Option<usize>, now: At) -> bool {
-        let Some(c) = customer.filter(|c| self.rates.get(*c).is_some_and(|r| *r > 0.0)) else { return true };
-        let (left, at) = &mut self.left[c];
-        *left = (*left + now.since(*at).secs() * self.rates[c])
-            .min((self.rates[c] * SHARE_DEPTH.secs()).max(1.0));
+    fn within(&mut self, customer: Option<usize>, part: f64, now: At) -> bool {
+        let Some(c) = customer.filter(|c| self.allowances.get(*c).is_some_and(|a| *a > 0.0)) else {
+            return true;
+        };
+        let ((left, at), rate) = (&mut self.left[c], self.allowances[c] * part);
+        *left = (*left + now.since(*at).secs() * rate).min(rate * SHARE_DEPTH.secs() + SHARE_CHANCE);
         *at = now;
         let within = *left >= 1.0;
         *left -= f64::from(u8::from(within));
@@ -277,10 +278,13 @@
 }
 
 /// Rule 4: what this front sent a cold engine lately, as usual work, against its even share of what all may
-/// send. An even share holds however unevenly traffic is spread, since no front takes another's.
+/// send. An even share holds however unevenly traffic is spread, since no front takes another's. Where it is
+/// under one batch, one goes by luck, drawn each window, so that few of many fronts send at a time.
 #[derive(Default)]
 struct Cold {
     sent: VecDeque<(At, f64)>,
+    luck: f64,
+    drawn: At,
 }
 
 /// Share of its capacity that an engine should have: the shape of the ramp is not told; a straight one over
@@ -292,16 +296,15 @@
 }
 
 impl Cold {
-    fn allows(&mut self, rule: &ColdRule, fronts: usize, cores: f64, warm: f64, work: f64, now: At) -> bool {
-        if warm >= 1.0 || rule.multiple <= 0.0 {
-            return true;
-        }
+    fn allows(&mut self, rule: &ColdRule, share: f64, work: f64, now: At, chance: &mut WyRand) -> bool {
         while self.sent.front().is_some_and(|(at, _)| now.since(*at) > rule.window) {
             self.sent.pop_front();
         }
         let spent: f64 = self.sent.iter().map(|(_, w)| w).sum();
-        let all = rule.multiple * warm * cores * 0.85 * rule.window.secs();
-        spent + work <= all * COLD_SPEND / fronts as f64
+        if now.since(self.drawn) >= rule.window {
+            (self.drawn, self.luck) = (now, chance.generate::<f64>());
+        }
+        spent + work <= share * COLD_SPEND || (spent <= 0.0 && self.luck * work < share * COLD_LUCK)
     }
 }
 
@@ -316,9 +319,8 @@
 }
 
 impl Health {
-    /// One outcome; true when the verdict changes. A failing engine comes back by the same test, over trial
-    /// batches one after the other: a single good answer would bring back one that errors on every other
-    /// batch.
+    /// One outcome; true when the verdict changes. A failing engine comes back by the same test, over trials
+    /// one after the other: a single good answer would bring back one that errors on every other batch.
     fn see(&mut self, bad: bool, now: At) -> bool {
         let step =
             if bad { (FAILING_BAD / SOUND_BAD).ln() } else { ((1.0 - FAILING_BAD) / (1.0 - SOUND_BAD)).ln() };
@@ -371,7 +373,7 @@
     fn hint(&mut self, hint: Option<Span>) {
         let Some(hint) = hint else { return };
         self.count = (self.count + 1.0).min(500.0);
-        self.hinted += (hint.secs() - self.hinted) / (self.count + PRIOR);
+        self.hinted += (hint.secs() - self.hinted) / (self.count + POOLED);
     }
 
     /// A dispatch whose pace foretells more than this has gone astray; without an estimate none has.
@@ -379,19 +381,13 @@
         work.map_or(Span::from_secs(f64::MAX), |w| Span::from_secs(w / threads * self.stretch * ASTRAY))
     }
 
-    fn spilled(&mut self, yes: bool) {
-        self.grant *= if yes { GRANT_STEPS.0 } else { GRANT_STEPS.1 };
-        self.grant = self.grant.clamp(GRANT_BOUNDS.0, GRANT_BOUNDS.1);
-    }
-
-    fn time(&mut self, took: Span, work: f64, threads: f64) {
-        let ratio = (took.secs() * threads / work.max(0.001)).clamp(0.5, 20.0);
-        self.stretch *= (ratio / self.stretch).powf(0.03);
-    }
-
     /// Where answers tell the work it is learnt as told. Elsewhere the lean follows a low quantile of time
     /// times threads over the hint: an answer is never faster than its work, and most wait a little.
-    fn learn(&mut self, hint: Option<Span>, told: Option<Span>, took: Span, threads: f64) {
+    fn learn(&mut self, hint: Option<Span>, work: Option<f64>, told: Option<Span>, took: f64) {
+        if let Some(work) = work {
+            let ratio = (took / work.max(0.001)).clamp(0.5, 20.0);
+            self.stretch *= (ratio / self.stretch).powf(0.03);
+        }
         if let Some(told) = told {
             let mean = self.told.get_or_insert(told.secs());
             *mean += (told.secs() - *mean) * 0.02;
@@ -399,7 +395,7 @@
         let Some(hint) = hint.filter(|h| h.micros() > 0) else { return };
         match told {
             Some(told) => self.lean *= ((told / hint).max(0.01) / self.lean).powf(0.03),
-            None if took.secs() * threads / hint.secs() < self.lean => self.lean *= 0.98,
+            None if took / hint.secs() < self.lean => self.lean *= 0.98,
             None => self.lean *= 1.01,
         }
         self.lean = self.lean.clamp(0.1, 10.0);
@@ -413,21 +409,27 @@
     cold: Cold,
     health: Health,
     heard: At,
-    held: BTreeMap<u32, HeldSet>,
+    /// Of what is out there, notes overdue this tick.
+    missed: usize,
+    /// Batches of other fronts there a core, or else how busy it is, as it told last.
+    others: Option<(f64, At)>,
+    /// Data sets held there: by how many of this front's own, and till when by what notes told.
+    held: BTreeMap<u32, (usize, At)>,
     /// The data sets last sent there, the latest last.
     warm: VecDeque<u32>,
 }
 
-/// A data set held on an engine: by how many of this front's own, and till when by what notes told.
-#[derive(Clone, Copy, Default)]
-struct HeldSet {
-    own: usize,
-    noted_till: At,
-}
-
 impl EngineNow {
+    /// Threads that other fronts run there beyond what engines mostly tell, while fresh: of many fronts
+    /// each runs next to nothing there, and a batch shares the engine with what all run.
+    fn crowded(&self, mostly: f64, now: At) -> f64 {
+        let Some((others, at)) = self.others.filter(|_| mostly > 0.0) else { return 0.0 };
+        let fresh = (1.0 - now.since(at) / TOLD_LASTS).max(0.0);
+        (others / mostly - 1.0).clamp(-1.0, 1.0) * self.budgets.ceiling * fresh * self.budgets.foreign()
+    }
+
     fn holds(&self, set: u32, now: At) -> bool {
-        self.held.get(&set).is_some_and(|h| h.own > 0 || h.noted_till > now)
+        self.held.get(&set).is_some_and(|(own, noted_till)| *own > 0 || *noted_till > now)
     }
 }
 
@@ -461,12 +463,6 @@
     over: bool,
 }
 
-impl Held {
-    fn is_spent(&self, caps: &Caps) -> bool {
-        self.dispatches > MOST_FURTHER || self.dispatches >= caps.most_dispatches
-    }
-}
-
 pub struct Policy {
     fleet: Fleet,
     groups: Vec<ServiceGroup>,
@@ -484,6 +480,9 @@
     batches: Vec<Option<Held>>,
     /// Batches out of this front and of all, at engines that told, fading.
     held_there: (f64, f64),
+    others_mostly: f64,
+    taken: f64,
+    probes_due: f64,
     overloaded: bool,
     log: Vec<String>,
     chance: WyRand,
@@ -509,12 +508,7 @@
 
 /// Rule 2: a pushback says that trying again is harmless.
 fn may_push_back(effect: Effect, may_have_run: bool) -> bool {
-    !may_have_run
-        || match effect {
-            Effect::Repeatable => true,
-            Effect::Referenced { scope, .. } => scope == Scope::All,
-            Effect::OnceOnly => false,
-        }
+    !may_have_run || matches!(effect, Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. })
 }
 
 /// Rule 2: whether a further dispatch may go to this engine now.
@@ -556,7 +550,8 @@
         let ranks = rank(&groups);
         let threads: Vec<f64> = groups.iter().map(|g| g.threads).collect();
         let usual = groups.iter().map(Usual::new).collect();
-        let shares = Shares::new(&customers, fleet.fronts);
+        let left = vec![(SHARE_CHANCE, At::default()); customers.len()];
+        let shares = Shares { allowances: customers.iter().map(|c| c.allowance).collect(), left };
         Policy {
             asked: threads.clone(),
             fleet,
@@ -572,6 +567,9 @@
             engines: Vec::new(),
             batches: Vec::new(),
             held_there: (0.0, 0.0),
+            others_mostly: 0.0,
+            taken: 0.0,
+            probes_due: 0.0,
             overloaded: false,
             log: Vec::new(),
             chance: WyRand::new_seed(seed),
@@ -610,16 +608,17 @@
 
     pub fn take(&mut self, now: At, b: usize, mut batch: Batch) {
         self.ration.count(now, false);
+        self.taken += 1.0;
         let g = batch.group;
         self.asked.iter_mut().for_each(|asked| *asked *= 0.999);
         self.asked[g] += self.threads[g];
         self.usual[g].hint(batch.work);
         batch.key = batch.key.filter(|_| self.groups[g].in_order);
         if let Some(key) = batch.key {
-            self.keys.join(key, b);
+            self.keys.lines.entry(key).or_default().0.push_back(b);
         }
         let work = self.usual[g].work(batch.work);
-        let within_share = self.shares.within(batch.customer, now);
+        let within_share = self.shares.within(batch.customer, self.part(), now);
         let held = Held { batch, work, within_share, ..Held::default() };
         if self.batches.len() <= b {
             self.batches.resize_with(b + 1, || None);
@@ -643,7 +642,8 @@
         {
             return Place::NotYet;
         }
-        if held.dispatches > 0 && (self.overloaded || held.is_spent(&self.caps) || !self.ration.allows(now)) {
+        let spent = held.dispatches >= self.caps.most_dispatches.min(1 + MOST_FURTHER);
+        if held.dispatches > 0 && (self.overloaded || spent || !self.ration.allows(now)) {
             return self.give_up(now, b);
         }
         match self.choose(now, b) {
@@ -672,29 +672,25 @@
         let Some(engine) = self.engines[out.engine].as_mut() else { return Next::Over };
         engine.budgets.running[g] = (engine.budgets.running[g] - self.threads[g]).max(0.0);
         if group.holds_data {
-            let set = engine.held.entry(held.batch.data_set).or_default();
-            set.own = set.own.saturating_sub(1);
+            let (own, _) = engine.held.entry(held.batch.data_set).or_default();
+            *own = own.saturating_sub(1);
         }
-        engine.held.retain(|_, h| h.own > 0 || h.noted_till > now);
+        engine.held.retain(|_, (own, noted_till)| *own > 0 || *noted_till > now);
         if out.memory_mb.is_some() && (out.spilled || answer.outcome == Outcome::Returned) {
-            self.usual[g].spilled(out.spilled);
+            let step = if out.spilled { GRANT_STEPS.0 } else { GRANT_STEPS.1 };
+            let grant = &mut self.usual[g].grant;
+            *grant = (*grant * step).clamp(GRANT_BOUNDS.0, GRANT_BOUNDS.1);
         }
         let tick = &mut engine.budgets;
         tick.batches = tick.batches.saturating_sub(1);
-        if let Some(all) = answer.report.in_hand.filter(|n| *n > 0.0) {
-            let (own, of) = &mut self.held_there;
-            (*own, *of) = (*own * SHARE_FADE + (tick.batches as f64).min(all), *of * SHARE_FADE + all);
-        }
         match answer.outcome {
             Outcome::Returned => {
                 tick.answers += 1.0;
                 if answer.took > goal && !out.stood {
                     tick.late += 1.0;
                 }
-                if let Some(work) = held.work {
-                    self.usual[g].time(answer.took, work, self.threads[g]);
-                }
-                self.usual[g].learn(held.batch.work, answer.work, answer.took, self.threads[g]);
+                let took = answer.took.secs() * self.threads[g];
+                self.usual[g].learn(held.batch.work, held.work, answer.work, took);
             }
             Outcome::Full => tick.jammed = true,
             Outcome::TimedOut => tick.jammed |= !out.stood,
@@ -707,36 +703,46 @@
             Outcome::TimedOut if engine.heard <= out.sent => Some(true),
             _ => None,
         };
-        if let Some(bad) = bad {
-            if answer.outcome != Outcome::TimedOut {
-                engine.heard = now;
-            }
-            if engine.health.see(bad, now) {
-                let word = if bad { "failing: outcomes" } else { "sound again: an outcome" };
-                self.log.push(format!("engine {} {word}", out.engine));
-            }
+        if bad.is_some() && answer.outcome != Outcome::TimedOut {
+            engine.heard = now;
+        }
+        if bad.is_some_and(|bad| engine.health.see(bad, now)) {
+            let word = if bad == Some(true) { "failing: outcomes" } else { "sound again: an outcome" };
+            self.log.push(format!("engine {} {word}", out.engine));
         }
         let over = held.over;
+        self.probed(now, out.engine, answer.report);
         self.let_go(now, b);
         if over { Next::Over } else { Next::Ask }
     }
 
+    /// An engine's report, with an answer or by a probe.
+    pub fn probed(&mut self, now: At, e: usize, report: Report) {
+        let Some(Some(engine)) = self.engines.get_mut(e) else { return };
+        let own = engine.budgets.batches as f64;
+        if let Some(all) = report.in_hand.filter(|n| *n > 0.0) {
+            let (mine, of) = &mut self.held_there;
+            (*mine, *of) = (*mine * SHARE_FADE + own.min(all), *of * SHARE_FADE + all);
+        }
+        let cores = self.fleet.cores(&engine.told);
+        let others = report.in_hand.map(|all| (all - own).max(0.0) / cores).or(report.busy);
+        if let Some(others) = others {
+            self.others_mostly += (others - self.others_mostly) * MEAN_STEP;
+            engine.others = Some((others, now));
+        }
+    }
+
     /// How long to wait before asking about this batch again.
     pub fn wait(&self, now: At, b: usize) -> At {
         let Some(held) = self.batches.get(b).and_then(|h| h.as_ref()) else { return now + OUT_LOOK };
         if held.out.is_empty() { (now + KEY_LOOK).min(self.last_moment(held)) } else { now + OUT_LOOK }
     }
 
-    /// The client left: whatever is out works for nobody, so it is called off wherever that is heeded.
-    /// Impatient clients come back at once, and would else have the engines work for both tries.
+    /// The client left, and may be back at once: what is out works for nobody and is called off.
     pub fn client_left(&mut self, now: At, b: usize) -> Vec<u8> {
-        let mut off = Vec::new();
-        if let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()).filter(|_| self.caps.call_off) {
-            for out in held.out.iter_mut().filter(|o| !o.called_off) {
-                out.called_off = true;
-                off.push(out.number);
-            }
-        }
+        let held = self.batches.get_mut(b).and_then(|h| h.as_mut()).filter(|_| self.caps.call_off);
+        let out = held.into_iter().flat_map(|h| &mut h.out).filter(|o| !o.called_off);
+        let off = out.map(|o| (o.called_off = true, o.number).1).collect();
         self.end(now, b);
         off
     }
@@ -748,13 +754,13 @@
         (out.heard, engine.heard) = (now, now);
         match note {
             Note::Done(share) if share > 0.0 => {
-                out.foretold = Some(now.since(out.sent) * (1.0 / share.min(1.0)))
+                out.foretold = Some(now.since(out.sent) * share.min(1.0).recip())
             }
             Note::SpillsMb(_) => out.spilled = true,
             Note::WaitsForHolder => {
                 out.stood = true;
                 let till = now + self.caps.notes_every.unwrap_or_default();
-                engine.held.entry(held.batch.data_set).or_default().noted_till = till;
+                engine.held.entry(held.batch.data_set).or_default().1 = till;
             }
             _ => {}
         }
@@ -762,65 +768,52 @@
 
     /// The periodic work.
     pub fn tick(&mut self, now: At) {
-        let floors: f64 = self.threads.iter().sum();
         // Calm lets the bounds of all fronts grow to the whole engine each, and the next surge stuffs it.
         // Where engines tell what they hold, a front's bound ends a little over its share of that.
-        let even = 1.0 / self.fleet.fronts as f64;
-        let (own, all) = self.held_there;
-        let most = if all > 0.0 { (SHARE_ROOM * (own / all).max(even)).min(1.0) } else { 1.0 };
+        let most = if self.held_there.1 > 0.0 { (SHARE_ROOM * self.part()).min(1.0) } else { 1.0 };
         let (mut ready, mut congested) = (0.0, 0.0);
-        let mut missed = vec![0usize; self.engines.len()];
-        let mut overdue = vec![(0.0, 0.0); self.engines.len()];
         for held in self.batches.iter().flatten() {
             let g = held.batch.group;
             let goal = late_after(&self.groups[g], held.work);
             let astray = self.usual[g].astray_from(held.work, self.threads[g]);
             for out in &held.out {
-                let (late, all) = &mut overdue[out.engine];
-                *all += 1.0;
+                let Some(engine) = self.engines[out.engine].as_mut() else { continue };
                 // A foretold lateness is load too, unless so far off that the plan, not the engine, is bad.
                 let paced = out.foretold.filter(|f| *f < astray).unwrap_or_default();
                 let is_late = now.since(out.sent).max(paced) > goal && !out.stood;
-                *late += f64::from(u8::from(is_late));
+                engine.budgets.overdue += f64::from(u8::from(is_late));
                 let Some(every) = self.caps.notes_every else { continue };
-                let heard = self.engines[out.engine].as_ref().map_or(now, |e| e.heard).max(out.heard);
-                if !out.called_off && now.since(heard) > every * NOTE_SLACK {
-                    missed[out.engine] += 1;
-                }
+                let silent = now.since(engine.heard.max(out.heard)) > every * NOTE_SLACK;
+                engine.missed += usize::from(silent && !out.called_off);
             }
         }
         let mut all = Pool::default();
         let mut pools: Vec<Pool> = self.groups.iter().map(|_| Pool::default()).collect();
-        for (e, slot) in self.engines.iter().enumerate() {
-            let Some(x) = slot.as_ref().filter(|x| x.told.state == EngineState::Ready && !x.health.failing)
-            else {
-                continue;
-            };
-            all.hear(&x.budgets, overdue[e]);
-            for (g, pool) in pools.iter_mut().enumerate().filter(|(g, _)| in_place(&self.groups[*g], &x.told))
-            {
-                pool.add(&x.budgets, g, warmth(&self.cold, x.told.started, now));
+        let sound = |x: &&EngineNow| x.told.state == EngineState::Ready && !x.health.failing;
+        for x in self.engines.iter().flatten().filter(sound) {
+            let warm = warmth(&self.cold, x.told.started, now);
+            all.add(&x.budgets, 0, warm);
+            for (g, pool) in pools.iter_mut().enumerate() {
+                if in_place(&self.groups[g], &x.told) {
+                    pool.add(&x.budgets, g, warm);
+                }
             }
         }
         for (e, slot) in self.engines.iter_mut().enumerate() {
             let Some(engine) = slot else { continue };
             let mut open = pools.iter().enumerate().filter(|(g, _)| in_place(&self.groups[*g], &engine.told));
             let full = open.any(|(g, pool)| engine.budgets.is_full(self.threads[g], pool, 1.0));
-            let cores = self.fleet.cores(&engine.told);
-            // Floors of many fronts add up to a jam: then each keeps a part of them.
-            let floor = (cores * THREADS_A_CORE / (floors * self.fleet.fronts as f64)).min(1.0);
-            engine.budgets.tick(&self.ranks, &self.threads, overdue[e], (&all, full), floor, most);
+            engine.budgets.tick(&self.ranks, &self.threads, &all, full, most);
             // Silence: notes are due from what is out and nothing at all has come from the engine.
-            for _ in 0..missed[e].min(2) {
+            for _ in 0..std::mem::take(&mut engine.missed).min(2) {
                 if !engine.health.failing && engine.health.see(true, now) {
                     self.log.push(format!("engine {e} failing: silent"));
                 }
             }
-            if engine.told.state != EngineState::Ready {
-                continue;
+            if engine.told.state == EngineState::Ready {
+                ready += 1.0;
+                congested += f64::from(u8::from(engine.budgets.congested));
             }
-            ready += 1.0;
-            congested += f64::from(u8::from(engine.budgets.congested));
         }
         let overloaded = ready > 0.0 && congested >= ready * OVERLOAD_SHARE;
         if overloaded != self.overloaded {
@@ -830,14 +823,29 @@
         }
     }
 
-    pub fn tick_every(&self) -> Span {
-        TICK
+    /// The engines to ask for a report now: the less this front's own count shows, the more of them.
+    pub fn probes(&mut self) -> Vec<usize> {
+        let is_ready = |x: &&EngineNow| x.told.state == EngineState::Ready;
+        let all =
+            self.engines.iter().enumerate().filter_map(|(e, x)| Some((e, x.as_ref().filter(is_ready)?)));
+        let (ready, foreign): (Vec<usize>, Vec<f64>) = all.map(|(e, x)| (e, x.budgets.foreign())).unzip();
+        let foreign: f64 = foreign.iter().sum();
+        self.probes_due += std::mem::take(&mut self.taken) * PROBES * foreign / (ready.len() as f64).max(1.0);
+        let now = if self.caps.probes && !ready.is_empty() { self.probes_due.floor() } else { 0.0 };
+        self.probes_due = self.probes_due.fract();
+        (0..now as usize).map(|_| ready[self.chance.generate_range(0..ready.len())]).collect()
     }
 
     pub fn log_lines(&mut self) -> Vec<String> {
         std::mem::take(&mut self.log)
     }
 
+    /// This front's part of all traffic: an even one at least, more where engines tell what they hold.
+    fn part(&self) -> f64 {
+        let (own, all) = self.held_there;
+        (own / all.max(1e-9)).max(1.0 / self.fleet.fronts as f64)
+    }
+
     /// An own due time lands on the next reading of the clock, so this lies before the time limit.
     fn last_moment(&self, held: &Held) -> At {
         held.batch.time_limit - self.caps.clock_step * 3.0
@@ -872,15 +880,16 @@
             {
                 continue;
             }
-            let cores = self.fleet.cores(&engine.told);
-            let warm = warmth(&self.cold, engine.told.started, now);
-            if !engine.cold.allows(&self.cold, self.fleet.fronts, cores, warm, mean, now) {
+            let (rule, warm) = (&self.cold, warmth(&self.cold, engine.told.started, now));
+            let all = rule.multiple * warm * self.fleet.cores(&engine.told) * 0.85 * rule.window.secs();
+            let share = all / self.fleet.fronts as f64;
+            if warm < 1.0 && all > 0.0 && !engine.cold.allows(rule, share, mean, now, &mut self.chance) {
                 continue;
             }
             // Behind a holder it would stand still whatever its budget: such an engine comes last.
             let set = held.batch.data_set;
             let stands = (group.waits_for_holder || group.holds_data) && engine.holds(set, now);
-            let free = engine.budgets.free(g)
+            let free = engine.budgets.free(g) - engine.crowded(self.others_mostly, now)
                 + if engine.warm.contains(&set) { WARM_WORTH } else { 0.0 }
                 + if engine.told.zone == self.fleet.zone { ZONE_WORTH } else { 0.0 }
                 - if stands || held.last_engine == Some(e) { 1e6 } else { 0.0 };
@@ -933,14 +942,10 @@
             engine.warm.pop_front();
         }
         if group.holds_data {
-            engine.held.entry(set).or_default().own += 1;
+            engine.held.entry(set).or_default().0 += 1;
         }
         // Ends before the time limit, so that the answer it still calls for is in time.
-        let whole = held.batch.time_limit.since(now + self.caps.clock_step * 2.0);
-        // With no notes to show silence, what may run again is given up in time for another engine.
-        let more = group.effect == Effect::Repeatable && !held.is_spent(&self.caps);
-        let blind = self.caps.notes_every.is_none() && more;
-        let time_out = if blind { whole.min(late_after(group, held.work) * BLIND_WAIT) } else { whole };
+        let time_out = held.batch.time_limit.since(now + self.caps.clock_step * 2.0);
         Place::Send(Dispatch { engine: e, time_out, memory_mb, priority })
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -73,7 +73,7 @@
     /// A front that was told of `engines` warm ones, all ready, in zone 0, of kind 0.
     pub fn start(self, engines: usize) -> Front {
         let policy = Policy::new(
-            7,
+            7 + self.fleet.me as u64,
             self.fleet,
             self.groups,
             self.customers,
@@ -123,6 +123,11 @@
         (b, self.policy.place(ms(at), b))
     }
 
+    /// How many of `n` batches of one group, taken at once, are sent.
+    pub fn send_all(&mut self, n: usize, group: usize) -> usize {
+        (0..n).filter(|_| sent_to(self.take(2, batch(group)).1).is_some()).count()
+    }
+
     pub fn end(&mut self, at: u64, b: usize, number: u8, outcome: Outcome, took_ms: u64) -> Next {
         self.finish(at, b, number, outcome, took_ms, Report::default())
     }
