--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,7 +50,7 @@
 // What this front spends of its part of the cold rule's budget: estimates of work scatter.
 const COLD_SPEND: f64 = 0.85;
 // And what all fronts may expect to send by luck, since that scatters more.
-const COLD_LUCK: f64 = 0.35;
+const COLD_LUCK: f64 = 0.7;
 // A dispatch that its pace makes this many times the usual stretch of its estimate has gone wrong.
 const ASTRAY: f64 = 4.0;
 // Threads of free budget that a data set read there lately is worth, and an engine in this front's own zone.
@@ -415,7 +415,7 @@
     others: Option<(f64, At)>,
     /// Data sets held there: by how many of this front's own, and till when by what notes told.
     held: BTreeMap<u32, (usize, At)>,
-    /// The data sets last sent there, the latest last.
+    /// The data sets last sent there, the latest first.
     warm: VecDeque<u32>,
 }
 
@@ -637,9 +637,8 @@
         if now >= self.last_moment(held) {
             return self.give_up(now, b);
         }
-        if let Some(key) = held.batch.key
-            && !self.keys.has_turn(key, b, now, held.dispatches > 0)
-        {
+        let has_turn = |key| self.keys.has_turn(key, b, now, held.dispatches > 0);
+        if !held.batch.key.is_none_or(has_turn) {
             return Place::NotYet;
         }
         let spent = held.dispatches >= self.caps.most_dispatches.min(1 + MOST_FURTHER);
@@ -664,9 +663,8 @@
         if !proves_not_run(answer.outcome) && held.may_have_run.is_none_or(|(_, at)| out.sent < at) {
             held.may_have_run = Some((out.engine, out.sent));
         }
-        if let Some(key) = held.batch.key
-            && matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff)
-        {
+        let unsure = matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff);
+        if let Some(key) = held.batch.key.filter(|_| unsure) {
             self.keys.unsure(key, now + self.keys.quiet);
         }
         let Some(engine) = self.engines[out.engine].as_mut() else { return Next::Over };
@@ -771,7 +769,7 @@
         // Calm lets the bounds of all fronts grow to the whole engine each, and the next surge stuffs it.
         // Where engines tell what they hold, a front's bound ends a little over its share of that.
         let most = if self.held_there.1 > 0.0 { (SHARE_ROOM * self.part()).min(1.0) } else { 1.0 };
-        let (mut ready, mut congested) = (0.0, 0.0);
+        let (mut ready, mut congested, mut foreign) = (0.0, 0.0, 0.0);
         for held in self.batches.iter().flatten() {
             let g = held.batch.group;
             let goal = late_after(&self.groups[g], held.work);
@@ -813,8 +811,10 @@
             if engine.told.state == EngineState::Ready {
                 ready += 1.0;
                 congested += f64::from(u8::from(engine.budgets.congested));
+                foreign += engine.budgets.foreign();
             }
         }
+        self.probes_due += std::mem::take(&mut self.taken) * PROBES * foreign / f64::max(ready, 1.0);
         let overloaded = ready > 0.0 && congested >= ready * OVERLOAD_SHARE;
         if overloaded != self.overloaded {
             self.overloaded = overloaded;
@@ -825,12 +825,10 @@
 
     /// The engines to ask for a report now: the less this front's own count shows, the more of them.
     pub fn probes(&mut self) -> Vec<usize> {
-        let is_ready = |x: &&EngineNow| x.told.state == EngineState::Ready;
-        let all =
-            self.engines.iter().enumerate().filter_map(|(e, x)| Some((e, x.as_ref().filter(is_ready)?)));
-        let (ready, foreign): (Vec<usize>, Vec<f64>) = all.map(|(e, x)| (e, x.budgets.foreign())).unzip();
-        let foreign: f64 = foreign.iter().sum();
-        self.probes_due += std::mem::take(&mut self.taken) * PROBES * foreign / (ready.len() as f64).max(1.0);
+        let is_ready = |x: &EngineNow| x.told.state == EngineState::Ready;
+        let all = self.engines.iter().enumerate();
+        let ready: Vec<usize> =
+            all.filter(|(_, x)| x.as_ref().is_some_and(is_ready)).map(|(e, _)| e).collect();
         let now = if self.caps.probes && !ready.is_empty() { self.probes_due.floor() } else { 0.0 };
         self.probes_due = self.probes_due.fract();
         (0..now as usize).map(|_| ready[self.chance.generate_range(0..ready.len())]).collect()
@@ -937,10 +935,8 @@
         held.dispatches += 1;
         held.last_engine = Some(e);
         engine.warm.retain(|s| *s != set);
-        engine.warm.push_back(set);
-        if engine.warm.len() > WARM_SETS {
-            engine.warm.pop_front();
-        }
+        engine.warm.push_front(set);
+        engine.warm.truncate(WARM_SETS);
         if group.holds_data {
             engine.held.entry(set).or_default().0 += 1;
         }
