How slow answers were against their told work counts as an engine's load, for 1.2 s

Change: where answers tell the work and reports do not tell batches in hand, time over told work joins the reports in one measure of an engine's load, each against what it mostly is, halves of old and new, believed for 1.2 s instead of 2. Also guards against: other programs on engines, paging, slow disks, whatever makes an engine slow but not idle. It can hurt where told work is far off. Folded: what is probed, the ration's counting, the two usual loads in one list.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,7 +60,7 @@
 // What an engine told of its load counts for this long, less as it ages.
 // Probes a batch taken, where this front's own count shows next to nothing of an engine.
 const PROBES: f64 = 0.5;
-const TOLD_LASTS: Span = Span::from_millis(2000);
+const TOLD_LASTS: Span = Span::from_millis(1200);
 // A customer may run this far ahead of its share; beyond it, it gets engines filled to this part only.
 const SHARE_DEPTH: Span = Span::from_millis(2000);
 // And this many batches, since few come by chance in clusters.
@@ -219,12 +219,6 @@
         }
         (self.further.len() + 1) as f64 <= rule.free + rule.per_batch * self.taken.len() as f64
     }
-
-    fn count(&mut self, now: At, further: bool) {
-        if self.rule.is_some() {
-            if further { &mut self.further } else { &mut self.taken }.push_back(now);
-        }
-    }
 }
 
 /// Rule 5: batches of one key in the order taken; one leaves its line once over with nothing of it out.
@@ -411,8 +405,8 @@
     heard: At,
     /// Of what is out there, notes overdue this tick.
     missed: usize,
-    /// Batches of other fronts there a core, or else how busy it is, as it told last.
-    others: Option<(f64, At)>,
+    /// Its load by what it told and how slow its answers were, in parts of the usual, and when.
+    load: (f64, At),
     /// Data sets held there: by how many of this front's own, and till when by what notes told.
     held: BTreeMap<u32, (usize, At)>,
     /// The data sets last sent there, the latest first.
@@ -420,12 +414,19 @@
 }
 
 impl EngineNow {
-    /// Threads that other fronts run there beyond what engines mostly tell, while fresh: of many fronts
-    /// each runs next to nothing there, and a batch shares the engine with what all run.
-    fn crowded(&self, mostly: f64, now: At) -> f64 {
-        let Some((others, at)) = self.others.filter(|_| mostly > 0.0) else { return 0.0 };
-        let fresh = (1.0 - now.since(at) / TOLD_LASTS).max(0.0);
-        (others / mostly - 1.0).clamp(-1.0, 1.0) * self.budgets.ceiling * fresh * self.budgets.foreign()
+    /// What shows the load there, weighed against what it mostly is at all engines.
+    fn tells(&mut self, load: f64, mostly: &mut f64, now: At) {
+        *mostly += (load - *mostly) * MEAN_STEP;
+        let (was, at) = self.load;
+        let part = if now.since(at) < TOLD_LASTS { 0.5 } else { 1.0 };
+        self.load = (was + (load / mostly.max(1e-9) - was) * part, now);
+    }
+
+    /// Threads of other fronts there beyond what engines mostly have, while that is fresh: the less is this
+    /// front's own, the more of what a batch shares the engine with.
+    fn crowded(&self, now: At) -> f64 {
+        let fresh = (1.0 - now.since(self.load.1) / TOLD_LASTS).max(0.0) * self.budgets.foreign();
+        (self.load.0 - 1.0).clamp(-1.0, 1.0) * self.budgets.ceiling * fresh
     }
 
     fn holds(&self, set: u32, now: At) -> bool {
@@ -480,9 +481,9 @@
     batches: Vec<Option<Held>>,
     /// Batches out of this front and of all, at engines that told, fading.
     held_there: (f64, f64),
-    others_mostly: f64,
+    /// What engines mostly tell of their load, and how slow answers mostly are.
+    mostly: [f64; 2],
     taken: f64,
-    probes_due: f64,
     overloaded: bool,
     log: Vec<String>,
     chance: WyRand,
@@ -567,9 +568,8 @@
             engines: Vec::new(),
             batches: Vec::new(),
             held_there: (0.0, 0.0),
-            others_mostly: 0.0,
+            mostly: [0.0; 2],
             taken: 0.0,
-            probes_due: 0.0,
             overloaded: false,
             log: Vec::new(),
             chance: WyRand::new_seed(seed),
@@ -607,7 +607,7 @@
     }
 
     pub fn take(&mut self, now: At, b: usize, mut batch: Batch) {
-        self.ration.count(now, false);
+        self.ration.taken.extend(self.ration.rule.as_ref().map(|_| now));
         self.taken += 1.0;
         let g = batch.group;
         self.asked.iter_mut().for_each(|asked| *asked *= 0.999);
@@ -679,19 +679,23 @@
             let grant = &mut self.usual[g].grant;
             *grant = (*grant * step).clamp(GRANT_BOUNDS.0, GRANT_BOUNDS.1);
         }
-        let tick = &mut engine.budgets;
-        tick.batches = tick.batches.saturating_sub(1);
+        engine.budgets.batches = engine.budgets.batches.saturating_sub(1);
         match answer.outcome {
             Outcome::Returned => {
-                tick.answers += 1.0;
+                engine.budgets.answers += 1.0;
                 if answer.took > goal && !out.stood {
-                    tick.late += 1.0;
+                    engine.budgets.late += 1.0;
                 }
                 let took = answer.took.secs() * self.threads[g];
+                // Cores that are all busy look alike, and only the time that told work took tells them apart.
+                if let Some(work) = answer.work.filter(|_| !out.stood && answer.report.in_hand.is_none()) {
+                    let slow = (took / work.secs().max(0.001)).clamp(0.8, 4.0);
+                    engine.tells(slow, &mut self.mostly[1], now);
+                }
                 self.usual[g].learn(held.batch.work, held.work, answer.work, took);
             }
-            Outcome::Full => tick.jammed = true,
-            Outcome::TimedOut => tick.jammed |= !out.stood,
+            Outcome::Full => engine.budgets.jammed = true,
+            Outcome::TimedOut => engine.budgets.jammed |= !out.stood,
             _ => {}
         }
         // A time-out at an engine that answered others meanwhile is load, which the budgets answer.
@@ -723,10 +727,8 @@
             (*mine, *of) = (*mine * SHARE_FADE + own.min(all), *of * SHARE_FADE + all);
         }
         let cores = self.fleet.cores(&engine.told);
-        let others = report.in_hand.map(|all| (all - own).max(0.0) / cores).or(report.busy);
-        if let Some(others) = others {
-            self.others_mostly += (others - self.others_mostly) * MEAN_STEP;
-            engine.others = Some((others, now));
+        if let Some(load) = report.in_hand.map(|all| (all - own).max(0.0) / cores).or(report.busy) {
+            engine.tells(load, &mut self.mostly[0], now);
         }
     }
 
@@ -769,7 +771,7 @@
         // Calm lets the bounds of all fronts grow to the whole engine each, and the next surge stuffs it.
         // Where engines tell what they hold, a front's bound ends a little over its share of that.
         let most = if self.held_there.1 > 0.0 { (SHARE_ROOM * self.part()).min(1.0) } else { 1.0 };
-        let (mut ready, mut congested, mut foreign) = (0.0, 0.0, 0.0);
+        let (mut ready, mut congested) = (0.0, 0.0);
         for held in self.batches.iter().flatten() {
             let g = held.batch.group;
             let goal = late_after(&self.groups[g], held.work);
@@ -808,10 +810,8 @@
             if engine.told.state == EngineState::Ready {
                 ready += 1.0;
                 congested += f64::from(u8::from(engine.budgets.congested));
-                foreign += engine.budgets.foreign();
             }
         }
-        self.probes_due += std::mem::take(&mut self.taken) * PROBES * foreign / f64::max(ready, 1.0);
         let overloaded = ready > 0.0 && congested >= ready * OVERLOAD_SHARE;
         if overloaded != self.overloaded {
             self.overloaded = overloaded;
@@ -826,8 +826,10 @@
         let all = self.engines.iter().enumerate();
         let ready: Vec<usize> =
             all.filter(|(_, x)| x.as_ref().is_some_and(is_ready)).map(|(e, _)| e).collect();
-        let now = if self.caps.probes && !ready.is_empty() { self.probes_due.floor() } else { 0.0 };
-        self.probes_due = self.probes_due.fract();
+        let foreign: f64 = ready.iter().flat_map(|e| &self.engines[*e]).map(|x| x.budgets.foreign()).sum();
+        let rate = if self.caps.probes { PROBES * foreign / (ready.len() as f64).max(1.0) } else { 0.0 };
+        let now = (self.taken * rate).floor();
+        self.taken -= if rate > 0.0 { now / rate } else { self.taken };
         (0..now as usize).map(|_| ready[self.chance.generate_range(0..ready.len())]).collect()
     }
 
@@ -889,7 +891,7 @@
             let stands = (group.waits_for_holder || group.holds_data) && engine.holds(set, now);
             // Of two kinds the one whose pool is less full: a group bound to one kind leaves the other idle.
             let spare = (1.0 - pool.fill / pool.bears.max(1e-9)).clamp(-1.0, 1.0) * engine.budgets.foreign();
-            let free = engine.budgets.free(g) - engine.crowded(self.others_mostly, now)
+            let free = engine.budgets.free(g) - engine.crowded(now)
                 + spare * engine.budgets.ceiling
                 + if engine.warm.contains(&set) { WARM_WORTH } else { 0.0 }
                 + if engine.told.zone == self.fleet.zone { ZONE_WORTH } else { 0.0 }
@@ -914,7 +916,7 @@
         };
         let g = held.batch.group;
         if held.dispatches > 0 {
-            self.ration.count(now, true);
+            self.ration.further.extend(self.ration.rule.as_ref().map(|_| now));
         }
         engine.health.trial_at = now + engine.health.trial_gap;
         engine.budgets.running[g] += self.threads[g];
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -306,6 +306,45 @@
     }
 }
 
+#[test]
+fn what_shows_an_engines_load_steers_where_own_counts_show_little() {
+    // (fronts, took ms at engine 0, its report's busy share, whether engine 1 gets all of the next eight);
+    // engine 1 takes 100 ms and tells 0.5, work told is 100 ms, and 5 s later nothing told counts
+    for (fronts, took, busy, later, all_to_1) in [
+        (60, 800, None, 0, true),
+        (60, 100, Some(1.0), 0, true),
+        (60, 800, Some(1.0), 5000, false),
+        (60, 100, None, 0, false),
+    ] {
+        let mut rig = Rig::default();
+        rig.fleet.fronts = fronts;
+        let mut front = rig.start(2);
+        let mut at = 0;
+        for _ in 0..40 {
+            at += 1000;
+            let one = Batch { time_limit: ms(at + 5000), ..batch(LOOK_UP) };
+            let (b, Place::Send(d)) = front.take(at, one) else { continue };
+            let (took, busy) = if d.engine == 0 { (took, busy) } else { (100, busy.map(|_| 0.5)) };
+            let (took, work) = (Span::from_millis(took), Some(Span::from_millis(100)));
+            let report = Report { in_hand: None, busy };
+            let answer = Answer { outcome: Outcome::Returned, took, over: true, work, report };
+            front.policy.after(ms(at) + took, b, 0, &answer);
+            front.policy.tick(ms(at + 900));
+        }
+        let mut to_1 = 0;
+        for i in 0..8 {
+            let now = at + 900 + later + i;
+            // A data set of its own each, so that none is warm; each leaves before the next comes.
+            let one = Batch { time_limit: ms(now + 5000), data_set: 90 + i as u32, ..batch(LOOK_UP) };
+            let (b, place) = front.take(now, one);
+            to_1 += usize::from(sent_to(place) == Some(1));
+            front.end(now, b, 0, Outcome::CalledOff, 0);
+            front.policy.client_left(ms(now), b);
+        }
+        assert_eq!(to_1 == 8, all_to_1, "{fronts} fronts, {took} ms, busy {busy:?}: {to_1}");
+    }
+}
+
 #[test]
 fn a_cold_engine_gets_a_little_of_each_of_many_fronts_by_luck() {
     // (fronts, work a batch in ms, whether some go); the rule's budget is 2 x 0.32 x 8 cores x 2 s of work
