--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,10 +1,10 @@
 //! All decisions of a front. How it is called: `take` a batch, ask `place` where it goes until that says
 //! `NotYet` or gives a final answer, then ask `wait` when to ask again; tell each outcome to `after`. The
-//! engine list, notes and the one periodic `tick` are told besides. The types are in `interface.rs`, the
-//! calls in `impl Policy` at the end. The ordinary path: a batch takes the ready engine with most free budget
-//! of its service group; budgets (threads per engine and group) move each tick by asymmetric AIMD on one
-//! congestion signal and bind only while the engine's last tick read congested; with no room anywhere it is
-//! pushed back at once.
+//! engine list, notes and the one periodic `tick` are told besides, and `probes` is asked after it. The types
+//! are in `interface.rs`, the calls in `impl Policy` at the end. The ordinary path: a batch takes the ready
+//! engine with most free budget of its group; budgets (threads per engine and group) move each tick by
+//! asymmetric AIMD on one congestion signal and bind only while the engine's last tick read congested; with
+//! no room anywhere it is pushed back at once.
 
 use crate::interface::*;
 use crate::time::{At, Span};
@@ -31,9 +31,8 @@
 // Less than this many answers, faded, is hearing nothing.
 const HEARD: f64 = 0.25;
 const THREADS_A_CORE: f64 = 1.5;
-// A batch that waits for its key's turn is looked at this often; one that is out, this often.
+// A batch that waits for its key's turn is looked at this often; one that is out, each tick's span.
 const KEY_LOOK: Span = Span::from_millis(20);
-const OUT_LOOK: Span = Span::from_millis(250);
 const MOST_FURTHER: usize = 2;
 // The sequential test: share of bad outcomes of a sound and of a failing engine, and evidence enough.
 const SOUND_BAD: f64 = 0.05;
@@ -57,8 +56,7 @@
 const WARM_WORTH: f64 = 2.0;
 const WARM_SETS: usize = 4;
 const ZONE_WORTH: f64 = 1.0;
-// What an engine told of its load counts for this long, less as it ages.
-// Probes a batch taken, where this front's own count shows next to nothing of an engine.
+// Probes a batch taken, where own counts show next to nothing; how long a load told counts, less as it ages.
 const PROBES: f64 = 0.5;
 const TOLD_LASTS: Span = Span::from_millis(1200);
 // A customer may run this far ahead of its share; beyond it, it gets engines filled to this part only.
@@ -735,8 +733,8 @@
 
     /// How long to wait before asking about this batch again.
     pub fn wait(&self, now: At, b: usize) -> At {
-        let Some(held) = self.batches.get(b).and_then(|h| h.as_ref()) else { return now + OUT_LOOK };
-        if held.out.is_empty() { (now + KEY_LOOK).min(self.last_moment(held)) } else { now + OUT_LOOK }
+        let Some(held) = self.batches.get(b).and_then(|h| h.as_ref()) else { return now + TICK };
+        if held.out.is_empty() { (now + KEY_LOOK).min(self.last_moment(held)) } else { now + TICK }
     }
 
     /// The client left, and may be back at once: what is out works for nobody and is called off.
