What has less time left than its bare work is pushed back at once

Told from a jam by time-outs without busy engines. Change: a batch whose estimated work over its threads does not fit before its last safe moment gets its final answer at once; until estimates come nothing changes. Also meets batches that waited long for their key's turn, and fronts that slept. It can hurt where estimates are far too high.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -633,7 +633,9 @@
         if !held.out.is_empty() {
             return self.look_at_out(now, b);
         }
-        if now >= self.last_moment(held) {
+        // What can't be answered in time is better told so at once.
+        let least = Span::from_secs(held.work.unwrap_or(0.0) / self.threads[held.batch.group]);
+        if now + least >= self.last_moment(held) {
             return self.give_up(now, b);
         }
         let has_turn = |key| self.keys.has_turn(key, b, now, held.dispatches > 0);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -14,7 +14,7 @@
         [(0, 1000, true), (0, 20, true), (0, 15, false), (0, 5, false), (100, 50, false)]
     {
         let mut front = Rig::default().start(2);
-        let (_, place) = front.take(at, Batch { time_limit: ms(limit), ..batch(LOOK_UP) });
+        let (_, place) = front.take(at, Batch { time_limit: ms(limit), work: None, ..batch(LOOK_UP) });
         match place {
             Place::Send(d) => assert!(sends && ms(at) + d.time_out + Span::from_millis(5) < ms(limit)),
             other => assert!(!sends && matches!(other, Place::PushBack(Some(_))), "{at} {limit}: {other:?}"),
@@ -29,8 +29,8 @@
         let mut rig = Rig::default();
         rig.groups[LOAD].in_order = true;
         let mut front = rig.start(1);
-        front.take(0, Batch { key: Some(1), ..batch(LOAD) });
-        let waiting = Batch { key: Some(1), time_limit: ms(limit), ..batch(LOAD) };
+        front.take(0, Batch { key: Some(1), work: None, ..batch(LOAD) });
+        let waiting = Batch { key: Some(1), time_limit: ms(limit), work: None, ..batch(LOAD) };
         let (b, place) = front.take(at, waiting);
         assert_eq!((place, front.policy.wait(ms(at), b)), (Place::NotYet, ms(again)));
         assert!(matches!(front.policy.place(ms(limit - 15), b), Place::PushBack(_)));
@@ -372,6 +372,23 @@
     }
 }
 
+#[test]
+fn what_has_no_time_for_its_bare_work_is_pushed_back_at_once() {
+    // (group, work ms on one thread, time left ms, sent)
+    for (group, work, left, sent) in [
+        (LOOK_UP, 200, 300, true),
+        (LOOK_UP, 200, 150, false),
+        (REPORT, 4000, 1200, true),
+        (REPORT, 4000, 900, false),
+        (LOAD, 200, 90, false),
+    ] {
+        let one = Batch { work: Some(Span::from_millis(work)), time_limit: ms(left), ..batch(group) };
+        let (_, place) = Rig::default().start(2).take(0, one);
+        assert_eq!(sent_to(place).is_some(), sent, "group {group}, {work} ms, {left} left: {place:?}");
+        assert!(sent || matches!(place, Place::PushBack(Some(_))));
+    }
+}
+
 #[test]
 fn a_cold_engine_gets_a_little_of_each_of_many_fronts_by_luck() {
     // (fronts, work a batch in ms, whether some go); the rule's budget is 2 x 0.32 x 8 cores x 2 s of work
