One check for a ready engine, probes looked for only where allowed, a name used once

The ready check stood four times; the probes walked the fleet each tick where none may be sent; one name in the choice of engine stood for two things; the pool's comment still said service group.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -178,9 +178,8 @@
     }
 }
 
-/// What the engines open to a service group show together. An even share of one engine may be less than one
-/// batch, and what a front hears of it next to nothing; both add up over engines, however many fronts there
-/// are.
+/// What engines show together, all or those of one kind. An even share of one may be less than one batch, and
+/// what a front hears of it next to nothing; both add up over engines, however many fronts there are.
 #[derive(Default)]
 struct Pool {
     bears: f64,
@@ -414,6 +413,10 @@
 }
 
 impl EngineNow {
+    fn is_ready(&self) -> bool {
+        self.told.state == EngineState::Ready
+    }
+
     /// What shows the load there, weighed against what it mostly is at all engines.
     fn tells(&mut self, load: f64, mostly: &mut f64, now: At) {
         *mostly += (load - *mostly) * MEAN_STEP;
@@ -789,8 +792,7 @@
         }
         let mut all = Pool::default();
         let mut pools: BTreeMap<usize, Pool> = BTreeMap::new();
-        let sound = |x: &&EngineNow| x.told.state == EngineState::Ready && !x.health.failing;
-        for x in self.engines.iter().flatten().filter(sound) {
+        for x in self.engines.iter().flatten().filter(|x| x.is_ready() && !x.health.failing) {
             let warm = warmth(&self.cold, x.told.started, now);
             all.add(&x.budgets, 0, warm);
             pools.entry(x.told.kind).or_default().add(&x.budgets, 0, warm);
@@ -807,7 +809,7 @@
                     self.log.push(format!("engine {e} failing: silent"));
                 }
             }
-            if engine.told.state == EngineState::Ready {
+            if engine.is_ready() {
                 ready += 1.0;
                 congested += f64::from(u8::from(engine.budgets.congested));
             }
@@ -822,12 +824,11 @@
 
     /// The engines to ask for a report now: the less this front's own count shows, the more of them.
     pub fn probes(&mut self) -> Vec<usize> {
-        let is_ready = |x: &EngineNow| x.told.state == EngineState::Ready;
-        let all = self.engines.iter().enumerate();
-        let ready: Vec<usize> =
-            all.filter(|(_, x)| x.as_ref().is_some_and(is_ready)).map(|(e, _)| e).collect();
-        let foreign: f64 = ready.iter().flat_map(|e| &self.engines[*e]).map(|x| x.budgets.foreign()).sum();
-        let rate = if self.caps.probes { PROBES * foreign / (ready.len() as f64).max(1.0) } else { 0.0 };
+        let all = self.engines.iter().enumerate().filter(|_| self.caps.probes);
+        let ready =
+            all.filter_map(|(e, x)| Some((e, x.as_ref().filter(|x| x.is_ready())?.budgets.foreign())));
+        let (ready, foreign): (Vec<usize>, Vec<f64>) = ready.unzip();
+        let rate = PROBES * foreign.iter().sum::<f64>() / (ready.len() as f64).max(1.0);
         let now = (self.taken * rate).floor();
         self.taken -= if rate > 0.0 { now / rate } else { self.taken };
         (0..now as usize).map(|_| ready[self.chance.generate_range(0..ready.len())]).collect()
@@ -857,7 +858,7 @@
         let mean = self.usual[g].mean();
         // With most engines judged failing the judgement itself is in doubt: go by budgets alone. Full but
         // sound ones count: what they have no room for must not spill onto a failing one.
-        let in_reach = |x: &EngineNow| x.told.state == EngineState::Ready && in_place(group, &x.told);
+        let in_reach = |x: &EngineNow| x.is_ready() && in_place(group, &x.told);
         let reach = || self.engines.iter().flatten().filter(|x| in_reach(x));
         let (all, failing) = reach().fold((0, 0), |(n, f), x| (n + 1, f + usize::from(x.health.failing)));
         let trusted = failing as f64 <= all as f64 * MOST_FAILING;
@@ -866,14 +867,13 @@
             let pool = pools.entry(x.told.kind).or_default();
             pool.add(&x.budgets, g, warmth(&self.cold, x.told.started, now));
         }
-        let mut best: Option<(usize, f64)> = None;
-        let mut ties = 0u64;
+        let none = Pool::default();
+        let (mut best, mut ties): (Option<(usize, f64)>, u64) = (None, 0);
         for (e, slot) in self.engines.iter_mut().enumerate() {
             let Some(engine) = slot.as_mut().filter(|x| in_reach(x)) else { continue };
             // A trial batch is one that may run again. A probe clears none: what answers it may still error.
             let trial = group.effect == Effect::Repeatable && now >= engine.health.trial_at;
-            let spare = Pool::default();
-            let pool = pools.get(&engine.told.kind).unwrap_or(&spare);
+            let pool = pools.get(&engine.told.kind).unwrap_or(&none);
             if (trusted && engine.health.failing && !trial)
                 || !engine.budgets.has_room(g, self.threads[g], held.within_share, pool)
                 || !may_repeat(group.effect, first, &engine.told, now, self.caps.clock_step)
