--- a/adapter/src/front.rs
+++ b/adapter/src/front.rs
@@ -1,10 +1,10 @@
 //! One front: its decisions, the batches in hand, its timers, and the door where ids become small indices.
 
-use crate::settings;
 use crate::wire::Reply;
 use larchfall::interface::*;
 use larchfall::policy::{Policy, TICK};
 use larchfall::time::{At, Span};
+use larchfall_settings as settings;
 use std::collections::{BTreeSet, HashMap};
 
 const TICK_TAG: u64 = 0;
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -2,7 +2,6 @@
 //! malformed ends it with one line on standard error, before any part of that reply is written.
 
 mod front;
-mod settings;
 mod wire;
 
 use front::Front;
--- /dev/null
+++ b/front/src/board.rs
@@ -0,0 +1,79 @@
+//! Follows the notice board: connected for as long as it speaks, connected again when it does not.
+
+use crate::state::State;
+use crate::state::clock::std;
+use crate::wire::board::{self, Event, Frame};
+use larchfall::time::Span;
+use may::net::TcpStream;
+use nanorand::{Rng, WyRand};
+use slog::{info, warn};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+
+/// An empty frame comes each second: after this much silence nobody is there.
+const SILENCE: Span = Span::from_millis(2500);
+const CONNECT_WITHIN: Span = Span::from_millis(500);
+/// Pauses before connecting again, drawn between half and the whole; what is told counts 7 s later.
+const FIRST_PAUSE: Span = Span::from_millis(100);
+const LONGEST_PAUSE: Span = Span::from_millis(1500);
+
+pub fn follow(state: &Arc<State>, address: SocketAddrV4, seed: u64) {
+    let mut chance = WyRand::new_seed(seed);
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let mut frames = 0;
+        let reason = listen(state, address, &mut frames);
+        info!(state.log, "notice board connection ended"; "reason" => reason, "frames" => frames);
+        pause = if frames > 0 { FIRST_PAUSE } else { (pause * 2.0).min(LONGEST_PAUSE) };
+        may::coroutine::sleep(std(pause * (0.5 + 0.5 * chance.generate::<f64>())));
+    }
+}
+
+/// Takes in an event, and drops connections to engines that are gone.
+pub fn take(state: &State, event: &Event) {
+    for e in state.facade.follow(event) {
+        state.pool.forget(e);
+    }
+    state.counters.rest(|c| c.board_events += 1);
+}
+
+/// Listens until the connection ends; the reason.
+fn listen(state: &Arc<State>, address: SocketAddrV4, frames: &mut u64) -> &'static str {
+    let Ok(mut stream) = TcpStream::connect_timeout(&SocketAddr::V4(address), std(CONNECT_WITHIN)) else {
+        return "no-connection";
+    };
+    let _ = stream.set_read_timeout(Some(std(SILENCE)));
+    if stream.write_all(&board::since(state.facade.seen())).is_err() {
+        return "not-written";
+    }
+    let mut input = Vec::new();
+    loop {
+        loop {
+            match board::decode(&input) {
+                Ok(Some((frame, used))) => {
+                    *frames += 1;
+                    if let Frame::News(event) = frame {
+                        take(state, &event);
+                    }
+                    input.drain(..used);
+                }
+                Ok(None) => break,
+                Err(why) => {
+                    warn!(state.log, "notice board: {}", why);
+                    return "malformed";
+                }
+            }
+        }
+        let had = input.len();
+        input.resize(had + 4096, 0);
+        let got = stream.read(&mut input[had..]);
+        input.truncate(had + *got.as_ref().unwrap_or(&0));
+        match got {
+            Ok(0) => return "board-closed",
+            Ok(_) => {}
+            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => return "silent",
+            Err(_) => return "board-reset",
+        }
+    }
+}
--- /dev/null
+++ b/front/src/client.rs
@@ -0,0 +1,207 @@
+//! A client connection: one coroutine reads its messages and is the one writer of its answers.
+
+use crate::dispatch::{self, Task};
+use crate::state::State;
+use crate::state::peer::{Opening, Peer};
+use crate::wire::rpc::{self, Message, Request};
+use crate::wire::statement::table_group;
+use larchfall::interface::{Batch, Place};
+use larchfall::time::Span;
+use may::io::WaitIo;
+use may::net::TcpStream;
+use slog::info;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Clients close what is idle after 4 s. What is quiet for longer has no client behind it.
+pub const QUIET: Span = Span::from_millis(10_000);
+const CHUNK: usize = 16 * 1024;
+
+/// Why a connection ended: its code in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reason {
+    ClientClosed,
+    ClientReset,
+    Quiet,
+    NotRead,
+    Malformed(&'static str),
+    IdUsedTwice,
+    Stopped,
+}
+
+impl Reason {
+    fn code(self) -> &'static str {
+        match self {
+            Reason::ClientClosed => "client-closed",
+            Reason::ClientReset => "client-reset",
+            Reason::Quiet => "quiet",
+            Reason::NotRead => "answers-not-read",
+            Reason::Malformed(_) => "malformed",
+            Reason::IdUsedTwice => "id-used-twice",
+            Reason::Stopped => "stopped",
+        }
+    }
+
+    fn detail(self) -> &'static str {
+        if let Reason::Malformed(why) = self { why } else { "" }
+    }
+}
+
+/// Serves one connection to its end.
+pub fn serve(state: &Arc<State>, stream: TcpStream, from: SocketAddr) {
+    let _ = stream.set_nodelay(true);
+    let (place, peer) = state.peers.join(stream.waker(), state.clock.now());
+    state.counters.rest(|c| {
+        c.connections += 1;
+        c.most_clients = c.most_clients.max(state.peers.len());
+    });
+    let reason = converse(state, &stream, &peer);
+    for b in peer.abort_all() {
+        left(state, b);
+    }
+    state.peers.part(place);
+    info!(state.log, "client connection ended";
+        "from" => from.to_string(), "reason" => reason.code(), "detail" => reason.detail());
+}
+
+fn left(state: &State, b: usize) {
+    state.facade.leave(b);
+}
+
+fn converse(state: &Arc<State>, stream: &TcpStream, peer: &Arc<Peer>) -> Reason {
+    let mut input = Vec::new();
+    loop {
+        let wrote = match peer.write(|bytes| without_wait(stream.inner().write(bytes))) {
+            Ok(n) => n,
+            Err(reason) => return reason,
+        };
+        let read = match read(stream, &mut input) {
+            Ok(n) => n,
+            Err(reason) => return reason,
+        };
+        if read > 0
+            && let Err(reason) = take_messages(state, peer, &mut input)
+        {
+            return reason;
+        }
+        let now = state.clock.now();
+        if wrote + read > 0 {
+            peer.stirred(now);
+            // Others may have waited while this one was served.
+            may::coroutine::yield_now();
+            continue;
+        }
+        if now.since(peer.quiet_since()) >= QUIET {
+            if peer.has_unread() {
+                return Reason::NotRead;
+            }
+            if peer.is_idle() {
+                return Reason::Quiet;
+            }
+        }
+        if state.ends().is_some_and(|ends| now >= ends) && peer.is_idle() {
+            return Reason::Stopped;
+        }
+        stream.wait_io();
+    }
+}
+
+/// How many bytes went; none when the socket is not ready.
+fn without_wait(result: io::Result<usize>) -> Result<usize, Reason> {
+    match result {
+        Ok(n) => Ok(n),
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(0),
+        Err(_) => Err(Reason::ClientReset),
+    }
+}
+
+fn read(stream: &TcpStream, input: &mut Vec<u8>) -> Result<usize, Reason> {
+    let had = input.len();
+    input.resize(had + CHUNK, 0);
+    let got = stream.inner().read(&mut input[had..]);
+    let ended = matches!(got, Ok(0));
+    let got = without_wait(got);
+    input.truncate(had + *got.as_ref().unwrap_or(&0));
+    if ended { Err(Reason::ClientClosed) } else { got }
+}
+
+fn take_messages(state: &Arc<State>, peer: &Arc<Peer>, input: &mut Vec<u8>) -> Result<(), Reason> {
+    let mut at = 0;
+    while let Some((message, used)) = rpc::decode(&input[at..]).map_err(Reason::Malformed)? {
+        at += used;
+        match message {
+            Message::Ping(id) => {
+                if peer.opening(id) == Opening::UsedTwice {
+                    return Err(Reason::IdUsedTwice);
+                }
+                state.counters.rest(|c| c.pings += 1);
+                peer.say(id, &rpc::Answer::Pong);
+            }
+            Message::Abort(ids) => {
+                ids.into_iter().filter_map(|id| peer.abort(id)).for_each(|b| left(state, b));
+            }
+            Message::Unusable(id, why) => {
+                if peer.opening(id) == Opening::UsedTwice {
+                    return Err(Reason::IdUsedTwice);
+                }
+                state.counters.rest(|c| c.unusable += 1);
+                peer.say(id, &rpc::Answer::Errored(why));
+            }
+            Message::Batch(id, request) => match peer.opening(id) {
+                Opening::UsedTwice => return Err(Reason::IdUsedTwice),
+                Opening::TooMany => peer.say(id, &rpc::Answer::PushedBack(None)),
+                Opening::Open => take(state, peer, id, &request),
+            },
+        }
+    }
+    input.drain(..at);
+    if input.is_empty() {
+        // An idle connection keeps no buffer.
+        *input = Vec::new();
+    }
+    Ok(())
+}
+
+/// Takes a batch in. It is picked for here, in the order of reading, so that keys keep their order.
+fn take(state: &Arc<State>, peer: &Arc<Peer>, message: u32, request: &Request) {
+    let Some(group) = state.names.groups.iter().position(|g| g == request.group) else {
+        state.counters.rest(|c| c.unusable += 1);
+        return peer.say(message, &rpc::Answer::Errored("unknown service group"));
+    };
+    state.counters.group(group, |c| c.taken += 1);
+    let now = state.clock.now();
+    let limit = now + request.wait.min(state.group_limits[group]);
+    let batch = Batch {
+        group,
+        customer: state.names.customers.iter().position(|c| c == request.customer),
+        key: request.key,
+        time_limit: state.ends().map_or(limit, |ends| limit.min(ends)),
+        work: request.work,
+        memory_mb: request.memory_mb,
+        data_set: table_group(request.statement).unwrap_or(0),
+    };
+    let Some(b) = state.facade.take(batch) else {
+        state.counters.group(group, |c| c.pushed_back += 1);
+        return peer.say(message, &rpc::Answer::PushedBack(None));
+    };
+    peer.open(message, b);
+    let task = Task {
+        message,
+        id: request.id.to_owned(),
+        group,
+        in_order: state.in_order[group],
+        reference: request.reference.map(str::to_owned),
+        statement: request.statement.to_vec(),
+    };
+    let first = state.facade.pick(b);
+    match first {
+        // What ends at once needs no coroutine.
+        Place::PushBack(_) | Place::Error => dispatch::run(state, peer, &task, b, first),
+        _ => {
+            state.counters.rest(|c| c.most_in_hand = c.most_in_hand.max(state.facade.in_hand()));
+            let (state, peer) = (state.clone(), peer.clone());
+            may::go!(move || dispatch::run(&state, &peer, &task, b, first));
+        }
+    }
+}
--- /dev/null
+++ b/front/src/link.rs
@@ -0,0 +1,100 @@
+//! One connection to an engine: one call at a time.
+
+use crate::state::clock::Clock;
+use crate::wire::http::{self, Reply};
+use larchfall::time::At;
+use may::net::TcpStream;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+pub struct Link {
+    stream: TcpStream,
+    input: Vec<u8>,
+}
+
+/// Why a call brought no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Not one byte of the call left.
+    Unsent,
+    /// The connection ended or spoke no HTTP; the call may have come whole.
+    Broken,
+    /// No reply by the time given.
+    Late,
+}
+
+/// Why a connection did not come up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoLink {
+    /// Nobody listens there.
+    Refused,
+    Silent,
+}
+
+impl Link {
+    pub fn open(address: SocketAddrV4, within: Duration) -> Result<Link, NoLink> {
+        if within.is_zero() {
+            return Err(NoLink::Silent);
+        }
+        match TcpStream::connect_timeout(&SocketAddr::V4(address), within) {
+            Ok(stream) => {
+                let _ = stream.set_nodelay(true);
+                Ok(Link { stream, input: Vec::new() })
+            }
+            Err(e) if e.kind() == ErrorKind::ConnectionRefused => Err(NoLink::Refused),
+            Err(_) => Err(NoLink::Silent),
+        }
+    }
+
+    /// Whether nothing came while it was idle: an end or stray bytes make it useless.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        self.input.is_empty()
+            && matches!(self.stream.inner().peek(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Sends a call and waits for its reply.
+    pub fn call(&mut self, call: &[u8], clock: &Clock, until: At) -> Result<Reply, Fault> {
+        let mut sent = 0;
+        while sent < call.len() {
+            let left = time(clock, until).ok_or(if sent == 0 { Fault::Unsent } else { Fault::Late })?;
+            let _ = self.stream.set_write_timeout(Some(left));
+            match self.stream.write(&call[sent..]) {
+                Ok(0) => return Err(Fault::Broken),
+                Ok(n) => sent += n,
+                Err(e) if sent == 0 && !is_late(&e) => return Err(Fault::Unsent),
+                Err(e) => return Err(if is_late(&e) { Fault::Late } else { Fault::Broken }),
+            }
+        }
+        loop {
+            if let Some((reply, used)) = http::parse(&self.input).map_err(|_| Fault::Broken)? {
+                self.input.drain(..used);
+                // 100 and its like only announce a reply.
+                if reply.status / 100 != 1 {
+                    return Ok(reply);
+                }
+                continue;
+            }
+            let left = time(clock, until).ok_or(Fault::Late)?;
+            let _ = self.stream.set_read_timeout(Some(left));
+            let had = self.input.len();
+            self.input.resize(had + 4096, 0);
+            let got = self.stream.read(&mut self.input[had..]);
+            self.input.truncate(had + *got.as_ref().unwrap_or(&0));
+            match got {
+                Ok(0) => return Err(Fault::Broken),
+                Ok(_) => {}
+                Err(e) => return Err(if is_late(&e) { Fault::Late } else { Fault::Broken }),
+            }
+        }
+    }
+}
+
+fn time(clock: &Clock, until: At) -> Option<Duration> {
+    Some(clock.left(until)).filter(|left| !left.is_zero())
+}
+
+fn is_late(e: &io::Error) -> bool {
+    matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock)
+}
--- /dev/null
+++ b/front/src/run/mod.rs
@@ -0,0 +1,7 @@
+//! Start and stop: configuration, command line, listening, signals, the end.
+
+pub mod command;
+pub mod config;
+pub mod log;
+pub mod serve;
+pub mod stop;
--- /dev/null
+++ b/front/src/run/serve.rs
@@ -0,0 +1,107 @@
+//! Puts the parts together and lets them run.
+
+use super::config::Config;
+use super::{log, stop};
+use crate::state::clock::{Clock, std as span};
+use crate::state::counters::Counters;
+use crate::state::facade::Facade;
+use crate::state::peer::Peers;
+use crate::state::pool::Pool;
+use crate::state::{State, lock};
+use crate::{board, client, timer};
+use larchfall::policy::Policy;
+use larchfall::time::Span;
+use may::net::TcpListener;
+use slog::{info, warn};
+use std::sync::{Arc, Mutex};
+
+/// Bytes of each coroutine's stack. Only pages that were touched count as memory; see docs/front.md.
+const STACK: usize = 64 * 1024;
+const PAUSE: Span = Span::from_millis(5);
+
+/// Runs a front to its end; a failure with the exit code for it.
+pub fn run(config: Config) -> Result<(), (u8, String)> {
+    may::config().set_workers(1).set_stack_size(STACK / size_of::<usize>()).set_worker_pin(false);
+    let address = config.listen;
+    // may's listener shares its port with any other of ours; a plain one finds out whether the port is free.
+    let listener = std::net::TcpListener::bind(address)
+        .map(drop)
+        .and_then(|()| TcpListener::bind(address))
+        .map_err(|e| (2, format!("listen: {address}: {e}")))?;
+    let (log, _writes_the_rest) = log::start(&config.name);
+    let (seed, board_address) = (config.seed, config.board);
+    let known = config.known;
+    let state = Arc::new(start(config.settings, config.limits, seed, log));
+    for event in &known {
+        board::take(&state, event);
+    }
+    let signals = stop::Signals::listen().map_err(|e| (1, format!("signals: {e}")))?;
+    info!(state.log, "listening"; "address" => address.to_string(), "clients" => state.limits.clients,
+        "engine_links" => state.limits.engine_links, "batches" => state.limits.batches);
+    let main = {
+        let state = state.clone();
+        may::go!(move || {
+            let (s1, s2, s3) = (state.clone(), state.clone(), state.clone());
+            may::go!(move || timer::run(&s1));
+            may::go!(move || board::follow(&s2, board_address, seed));
+            may::go!(move || accept(&s3, &listener));
+            stop::wait(&state, signals);
+        })
+    };
+    let ended = main.join();
+    for line in state.counters.lines(&state.names.groups) {
+        info!(state.log, "counters: {}", line);
+    }
+    ended.map_err(|_| (1, "the coroutine that waits for signals panicked".to_owned()))
+}
+
+fn start(
+    s: larchfall_settings::Settings,
+    limits: crate::state::limits::Limits,
+    seed: u64,
+    log: slog::Logger,
+) -> State {
+    let clock = Clock::start();
+    let in_order = s.groups.iter().map(|g| g.in_order).collect();
+    let policy = Policy::new(seed, s.fleet, s.groups, s.customers, s.caps, (s.cold, s.key_quiet), s.ration);
+    State {
+        clock,
+        counters: Counters::new(s.names.groups.len()),
+        names: s.names,
+        group_limits: s.limits,
+        in_order,
+        connect_within: s.connect_within,
+        facade: Facade::new(policy, clock, limits.batches),
+        peers: Peers::new(limits.unread),
+        pool: Pool::new(limits.engine_links, s.idle_close),
+        limits,
+        log,
+        ends: Mutex::new(None),
+    }
+}
+
+/// Takes connections in while there are descriptors for them: the rest wait in the listener's queue.
+fn accept(state: &Arc<State>, listener: &TcpListener) {
+    loop {
+        if state.peers.len() >= state.limits.clients {
+            may::coroutine::sleep(span(PAUSE));
+            continue;
+        }
+        match listener.accept() {
+            Ok((stream, from)) => {
+                let state = state.clone();
+                may::go!(move || client::serve(&state, stream, from));
+                may::coroutine::yield_now();
+            }
+            Err(e) => {
+                warn!(state.log, "accept: {}", e);
+                may::coroutine::sleep(span(PAUSE));
+            }
+        }
+    }
+}
+
+/// Tells all parts when this front ends.
+pub fn end_at(state: &State, at: larchfall::time::At) {
+    *lock(&state.ends) = Some(at);
+}
--- /dev/null
+++ b/front/src/run/stop.rs
@@ -0,0 +1,70 @@
+//! Signals, and the end: a front that was told to stop goes on serving for as long as clients may still come,
+//! answers what it holds, and ends before it can be killed.
+
+use super::serve;
+use crate::state::State;
+use crate::state::clock::std;
+use larchfall::time::Span;
+use may::os::unix::net::UnixStream;
+use signal_hook::consts::{SIGTERM, SIGUSR1};
+use signal_hook::low_level::pipe;
+use slog::info;
+use std::io::{self, Read};
+use std::sync::Arc;
+
+/// New connections come for 0.4 s after SIGTERM, requests on open ones for 0.2 s more.
+const CLIENTS_COME: Span = Span::from_millis(800);
+/// SIGKILL comes no sooner than the longest time limit, or this, and `KILL_AFTER` more.
+const LONGEST_WAIT: Span = Span::from_millis(3000);
+const KILL_AFTER: Span = Span::from_millis(700);
+/// What is left then has this long to get its answer.
+const LAST_ANSWERS: Span = Span::from_millis(400);
+const LOOK: Span = Span::from_millis(20);
+
+/// Signals as bytes on a stream, so that a coroutine can wait for them.
+pub struct Signals {
+    term: UnixStream,
+    ask: UnixStream,
+}
+
+impl Signals {
+    pub fn listen() -> io::Result<Signals> {
+        Ok(Signals { term: stream(SIGTERM)?, ask: stream(SIGUSR1)? })
+    }
+}
+
+fn stream(signal: i32) -> io::Result<UnixStream> {
+    let (write, read) = UnixStream::pair()?;
+    pipe::register(signal, write.inner().try_clone()?)?;
+    Ok(read)
+}
+
+/// Blocks until this front has ended.
+pub fn wait(state: &Arc<State>, signals: Signals) {
+    let Signals { mut term, mut ask } = signals;
+    let asked = state.clone();
+    may::go!(move || {
+        let mut byte = [0];
+        while matches!(ask.read(&mut byte), Ok(1)) {
+            for line in asked.counters.lines(&asked.names.groups) {
+                info!(asked.log, "counters: {}", line);
+            }
+        }
+    });
+    let _ = term.read(&mut [0]);
+    let told = state.clock.now();
+    let longest = state.group_limits.iter().max().copied().unwrap_or_default().min(LONGEST_WAIT);
+    let ends = told + Span::from_micros((longest + KILL_AFTER).micros() - LAST_ANSWERS.micros());
+    serve::end_at(state, ends);
+    info!(state.log, "told to stop"; "in_hand" => state.facade.in_hand(), "clients" => state.peers.len());
+    let killed = ends + LAST_ANSWERS;
+    loop {
+        may::coroutine::sleep(std(LOOK));
+        let now = state.clock.now();
+        let done = state.facade.in_hand() == 0 && state.peers.are_idle();
+        if (done && now.since(told) >= CLIENTS_COME) || now >= killed {
+            break;
+        }
+    }
+    info!(state.log, "ended"; "in_hand" => state.facade.in_hand(), "clients" => state.peers.len());
+}
--- /dev/null
+++ b/front/src/state/counters.rs
@@ -0,0 +1,100 @@
+//! Counts of what was taken in, sent and answered, by service group and outcome.
+
+use super::lock;
+use larchfall::interface::Outcome;
+use std::sync::Mutex;
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Group {
+    pub taken: u64,
+    pub dispatches: u64,
+    pub outcomes: [u64; 8],
+    pub returned: u64,
+    pub pushed_back: u64,
+    pub errored: u64,
+    /// Clients that left before their answer.
+    pub left: u64,
+}
+
+#[derive(Default)]
+pub struct Counters {
+    groups: Mutex<Vec<Group>>,
+    rest: Mutex<Rest>,
+}
+
+/// What belongs to no service group.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Rest {
+    pub connections: u64,
+    pub unusable: u64,
+    pub pings: u64,
+    pub probes: u64,
+    pub board_events: u64,
+    pub most_in_hand: usize,
+    pub most_clients: usize,
+    pub most_links: usize,
+}
+
+const OUTCOMES: [(Outcome, &str); 8] = [
+    (Outcome::Returned, "returned"),
+    (Outcome::Errored, "errored"),
+    (Outcome::Full, "full"),
+    (Outcome::TimedOut, "timed_out"),
+    (Outcome::ConnectFailed, "connect_failed"),
+    (Outcome::Reset, "reset"),
+    (Outcome::CalledOff, "called_off"),
+    (Outcome::Moot, "moot"),
+];
+
+impl Counters {
+    pub fn new(groups: usize) -> Counters {
+        Counters { groups: Mutex::new(vec![Group::default(); groups]), rest: Mutex::default() }
+    }
+
+    pub fn group(&self, g: usize, count: impl FnOnce(&mut Group)) {
+        if let Some(group) = lock(&self.groups).get_mut(g) {
+            count(group);
+        }
+    }
+
+    pub fn outcome(&self, g: usize, outcome: Outcome) {
+        let at = OUTCOMES.iter().position(|(o, _)| *o == outcome).unwrap_or(0);
+        self.group(g, |c| {
+            c.dispatches += 1;
+            c.outcomes[at] += 1;
+        });
+    }
+
+    pub fn rest(&self, count: impl FnOnce(&mut Rest)) {
+        count(&mut lock(&self.rest));
+    }
+
+    /// One line a service group, and one for the rest.
+    pub fn lines(&self, names: &[String]) -> Vec<String> {
+        let groups = lock(&self.groups);
+        let mut lines: Vec<String> = groups
+            .iter()
+            .zip(names)
+            .map(|(g, name)| {
+                let outcomes: Vec<String> =
+                    OUTCOMES.iter().zip(g.outcomes).map(|((_, word), n)| format!("{word}={n}")).collect();
+                format!(
+                    "group={name} taken={} returned={} pushed_back={} errored={} left={} dispatches={} | outcomes {}",
+                    g.taken,
+                    g.returned,
+                    g.pushed_back,
+                    g.errored,
+                    g.left,
+                    g.dispatches,
+                    outcomes.join(" ")
+                )
+            })
+            .collect();
+        let r = lock(&self.rest);
+        lines.push(format!(
+            "connections={} unusable={} pings={} probes={} board_events={} most_in_hand={} most_clients={} most_links={}",
+            r.connections, r.unusable, r.pings, r.probes, r.board_events, r.most_in_hand, r.most_clients, r.most_links
+        ));
+        lines
+    }
+}
--- /dev/null
+++ b/front/src/state/facade.rs
@@ -0,0 +1,179 @@
+//! The decisions in blocking style. Nothing else calls the module: a batch is taken, asked about with `pick`,
+//! rests while it has to wait, and each dispatch's outcome goes to `report`; `tick` runs from the one timer.
+
+use super::clock::Clock;
+use super::due::Due;
+use super::engines::Engines;
+use super::lock;
+use crate::wire::board::Event;
+use larchfall::interface::*;
+use larchfall::policy::Policy;
+use larchfall::time::At;
+use may::sync::Blocker;
+use slab::Slab;
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex};
+
+pub use larchfall::policy::TICK;
+
+/// A batch in hand.
+#[derive(Default)]
+struct InHand {
+    /// The client left; `true` inside when what is out is to be called off.
+    left: Option<bool>,
+    due: Option<At>,
+    resting: Option<Arc<Blocker>>,
+}
+
+struct Inner {
+    policy: Policy,
+    engines: Engines,
+    hand: Slab<InHand>,
+    due: Due,
+    timer: Option<Arc<Blocker>>,
+}
+
+pub struct Facade {
+    inner: Mutex<Inner>,
+    clock: Clock,
+    most: usize,
+}
+
+impl Facade {
+    pub fn new(policy: Policy, clock: Clock, most: usize) -> Facade {
+        let (engines, hand, due) = (Engines::default(), Slab::new(), Due::default());
+        Facade { inner: Mutex::new(Inner { policy, engines, hand, due, timer: None }), clock, most }
+    }
+
+    /// Takes a batch in; `None` when there is no room for another.
+    pub fn take(&self, batch: Batch) -> Option<usize> {
+        let mut inner = lock(&self.inner);
+        if inner.hand.len() >= self.most {
+            return None;
+        }
+        let b = inner.hand.insert(InHand::default());
+        inner.policy.take(self.clock.now(), b, batch);
+        Some(b)
+    }
+
+    /// Where to send this batch, or not yet, or never.
+    pub fn pick(&self, b: usize) -> Place {
+        lock(&self.inner).policy.place(self.clock.now(), b)
+    }
+
+    /// Blocks until it is time to ask again, or something happened to the batch.
+    pub fn rest(&self, b: usize) {
+        let blocker = Blocker::current();
+        {
+            let mut guard = lock(&self.inner);
+            let inner = &mut *guard;
+            let at = inner.policy.wait(self.clock.now(), b);
+            let Some(hand) = inner.hand.get_mut(b).filter(|h| h.left.is_none()) else { return };
+            hand.resting = Some(blocker.clone());
+            if let Some(old) = hand.due.replace(at) {
+                inner.due.remove(old, b);
+            }
+            if inner.due.insert(at, b)
+                && let Some(timer) = &inner.timer
+            {
+                timer.unpark();
+            }
+        }
+        let _ = blocker.park(None);
+    }
+
+    /// What became of a dispatch, and what to do after it.
+    pub fn report(&self, b: usize, number: u8, answer: &Answer) -> Next {
+        lock(&self.inner).policy.after(self.clock.now(), b, number, answer)
+    }
+
+    pub fn note(&self, b: usize, number: u8, note: Note) {
+        lock(&self.inner).policy.note(self.clock.now(), b, number, note);
+    }
+
+    /// The client left: nothing more is owed.
+    pub fn leave(&self, b: usize) {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        let Some(hand) = inner.hand.get_mut(b).filter(|h| h.left.is_none()) else { return };
+        hand.left = Some(!inner.policy.client_left(self.clock.now(), b).is_empty());
+        if let Some(resting) = hand.resting.take() {
+            resting.unpark();
+        }
+    }
+
+    /// Whether the client left, and if so whether what is out is to be called off.
+    pub fn left(&self, b: usize) -> Option<bool> {
+        lock(&self.inner).hand.get(b).and_then(|h| h.left)
+    }
+
+    /// A batch that is over, with nothing of it out: its index is free.
+    pub fn release(&self, b: usize) {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        if let Some(at) = inner.hand.try_remove(b).and_then(|h| h.due) {
+            inner.due.remove(at, b);
+        }
+    }
+
+    pub fn in_hand(&self) -> usize {
+        lock(&self.inner).hand.len()
+    }
+
+    /// The periodic work; the engines that are to be asked for a report.
+    pub fn tick(&self) -> Vec<usize> {
+        let mut inner = lock(&self.inner);
+        inner.policy.tick(self.clock.now());
+        inner.policy.probes()
+    }
+
+    pub fn log_lines(&self) -> Vec<String> {
+        lock(&self.inner).policy.log_lines()
+    }
+
+    pub fn probed(&self, e: usize, report: Report) {
+        lock(&self.inner).policy.probed(self.clock.now(), e, report);
+    }
+
+    /// Wakes the batches that have come due; the time of the next.
+    pub fn wake_due(&self, timer: &Arc<Blocker>) -> Option<At> {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        inner.timer = Some(timer.clone());
+        for b in inner.due.take(self.clock.now()) {
+            if let Some(hand) = inner.hand.get_mut(b) {
+                hand.due = None;
+                if let Some(resting) = hand.resting.take() {
+                    resting.unpark();
+                }
+            }
+        }
+        inner.due.first()
+    }
+
+    /// Takes in an event of the notice board; the engines whose connections are of no more use.
+    pub fn follow(&self, event: &Event) -> Vec<usize> {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        let changes = inner.engines.follow(event);
+        let now = self.clock.now();
+        for (e, engine) in &changes.told {
+            inner.policy.engine(now, *e, *engine);
+        }
+        for e in &changes.left {
+            inner.policy.engine_left(*e);
+        }
+        let gone =
+            changes.told.iter().filter(|(_, engine)| engine.state == EngineState::Gone).map(|(e, _)| *e);
+        gone.chain(changes.left.iter().copied()).collect()
+    }
+
+    /// The last event of the notice board that was taken in.
+    pub fn seen(&self) -> u64 {
+        lock(&self.inner).engines.seen()
+    }
+
+    pub fn address(&self, e: usize) -> SocketAddrV4 {
+        lock(&self.inner).engines.address(e)
+    }
+}
--- /dev/null
+++ b/front/src/state/mod.rs
@@ -0,0 +1,52 @@
+//! What one front keeps in memory. Nothing here does input or output on its own; no lock is held across a wait.
+
+pub mod clock;
+pub mod counters;
+pub mod due;
+pub mod engines;
+pub mod facade;
+pub mod limits;
+pub mod peer;
+pub mod pool;
+
+use clock::Clock;
+use counters::Counters;
+use facade::Facade;
+use larchfall::time::{At, Span};
+use larchfall_settings::Names;
+use limits::Limits;
+use peer::Peers;
+use pool::Pool;
+use slog::Logger;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// All parts of a front, shared by its coroutines.
+pub struct State {
+    pub clock: Clock,
+    pub names: Names,
+    /// How long clients of each service group wait at most.
+    pub group_limits: Vec<Span>,
+    /// Service groups whose batches of one key go one after the other.
+    pub in_order: Vec<bool>,
+    /// A connection to an engine that is not up by then counts as failed.
+    pub connect_within: Span,
+    pub limits: Limits,
+    pub facade: Facade,
+    pub peers: Peers,
+    pub pool: Pool,
+    pub counters: Counters,
+    pub log: Logger,
+    /// When this front ends, once it was told to.
+    pub ends: Mutex<Option<At>>,
+}
+
+impl State {
+    pub fn ends(&self) -> Option<At> {
+        *lock(&self.ends)
+    }
+}
+
+/// A part that panicked while it held a lock left plain values behind: the others go on.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/front/src/timer.rs
@@ -0,0 +1,42 @@
+//! The one timer: the module's tick, the due times of batches that rest, and what is looked at each tick.
+
+use crate::client::QUIET;
+use crate::dispatch;
+use crate::state::State;
+use crate::state::facade::TICK;
+use larchfall::time::Span;
+use may::sync::Blocker;
+use slog::info;
+use std::sync::Arc;
+
+pub fn run(state: &Arc<State>) {
+    let blocker = Blocker::current();
+    let mut next_tick = state.clock.now() + TICK;
+    loop {
+        let next_due = state.facade.wake_due(&blocker);
+        let now = state.clock.now();
+        if now >= next_tick {
+            tick(state);
+            // Ticks that a stall left out are not made up for.
+            next_tick = (next_tick + TICK).max(now + Span::from_millis(1));
+        }
+        let until = next_due.map_or(next_tick, |due| due.min(next_tick));
+        let left = state.clock.left(until);
+        if !left.is_zero() {
+            let _ = blocker.park(Some(left));
+        }
+    }
+}
+
+fn tick(state: &Arc<State>) {
+    for e in state.facade.tick() {
+        let state = state.clone();
+        may::go!(move || dispatch::probe(&state, e));
+    }
+    for line in state.facade.log_lines() {
+        info!(state.log, "module: {}", line);
+    }
+    let now = state.clock.now();
+    state.pool.drop_stale(now);
+    state.peers.wake_quiet(now - QUIET);
+}
--- /dev/null
+++ b/front/src/wire/rpc.rs
@@ -0,0 +1,181 @@
+//! MessagePack-RPC as clients speak it.
+
+use larchfall::time::Span;
+use rmpv::ValueRef;
+use rmpv::decode::read_value_ref_with_max_depth;
+use std::io::ErrorKind;
+
+/// A message holds a statement and a few fields; what is longer is no message of ours.
+pub const LONGEST: usize = 128 * 1024;
+/// Deep enough for every message of the protocol, each value taking up to three steps of the reader; deeper
+/// nesting only costs stack.
+const DEPTH: usize = 16;
+
+#[derive(Debug, PartialEq)]
+pub enum Message<'a> {
+    Batch(u32, Request<'a>),
+    Ping(u32),
+    /// The client stopped waiting for these.
+    Abort(Vec<u32>),
+    /// A request that can be told apart but not used.
+    Unusable(u32, &'static str),
+}
+
+/// One batch as its client words it.
+#[derive(Debug, PartialEq)]
+pub struct Request<'a> {
+    pub group: &'a str,
+    pub id: &'a str,
+    pub customer: &'a str,
+    pub wait: Span,
+    pub reference: Option<&'a str>,
+    pub key: Option<u64>,
+    pub work: Option<Span>,
+    pub memory_mb: Option<f64>,
+    pub statement: &'a [u8],
+}
+
+/// Why bytes are not a message.
+pub type Malformed = &'static str;
+
+/// The first message in these bytes and its length; `None` while it is not whole.
+pub fn decode(bytes: &[u8]) -> Result<Option<(Message<'_>, usize)>, Malformed> {
+    let mut rest = bytes;
+    let value = match read_value_ref_with_max_depth(&mut rest, DEPTH) {
+        Ok(value) => value,
+        Err(e) if e.kind() == ErrorKind::UnexpectedEof => {
+            return if bytes.len() < LONGEST { Ok(None) } else { Err("message too long") };
+        }
+        Err(_) => return Err("not MessagePack"),
+    };
+    let used = bytes.len() - rest.len();
+    if used > LONGEST {
+        return Err("message too long");
+    }
+    message(&value).map(|m| Some((m, used)))
+}
+
+fn number(value: &ValueRef) -> Result<u32, Malformed> {
+    value.as_u64().and_then(|n| u32::try_from(n).ok()).ok_or("message id is no number")
+}
+
+fn text<'a>(value: &ValueRef<'a>) -> Option<&'a str> {
+    match value {
+        ValueRef::String(s) => s.into_str(),
+        ValueRef::Binary(b) => std::str::from_utf8(b).ok(),
+        _ => None,
+    }
+}
+
+fn message<'a>(value: &ValueRef<'a>) -> Result<Message<'a>, Malformed> {
+    let ValueRef::Array(parts) = value else { return Err("message is no array") };
+    match (parts.first().and_then(ValueRef::as_u64), &parts[..]) {
+        (Some(0), [_, id, method, ValueRef::Array(params)]) => {
+            let id = number(id)?;
+            let Some(method) = text(method) else { return Ok(Message::Unusable(id, "method is no text")) };
+            if method == "ping" {
+                return Ok(Message::Ping(id));
+            }
+            Ok(match request(method, params) {
+                Ok(request) => Message::Batch(id, request),
+                Err(why) => Message::Unusable(id, why),
+            })
+        }
+        (Some(0), [_, id, ..]) => Ok(Message::Unusable(number(id)?, "a request has four parts")),
+        (Some(2), [_, method, ValueRef::Array(ids)]) if text(method) == Some("abort") => {
+            Ok(Message::Abort(ids.iter().map(number).collect::<Result<_, _>>()?))
+        }
+        (Some(2), _) => Err("unknown notification"),
+        _ => Err("unknown type of message"),
+    }
+}
+
+/// Whether a text may stand in a head of HTTP as it is.
+fn plain(text: &str, longest: usize) -> bool {
+    !text.is_empty() && text.len() <= longest && text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
+}
+
+fn positive(text: &str) -> Option<f64> {
+    text.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0)
+}
+
+fn request<'a>(group: &'a str, params: &[ValueRef<'a>]) -> Result<Request<'a>, Malformed> {
+    let [ValueRef::Map(fields), body] = params else { return Err("wanted fields and a body") };
+    let statement = match body {
+        ValueRef::Binary(b) => *b,
+        other => text(other).ok_or("body is no bin")?.as_bytes(),
+    };
+    let field = |name: &str| fields.iter().find(|(k, _)| text(k) == Some(name)).and_then(|(_, v)| text(v));
+    let id = field("req").filter(|id| plain(id, 64)).ok_or("req is missing or unusable")?;
+    let wait = field("timeout").and_then(positive).ok_or("timeout is missing or unusable")?;
+    let reference = field("opkey");
+    if reference.is_some_and(|r| !plain(r, 128)) {
+        return Err("opkey is unusable");
+    }
+    let key = match field("subject") {
+        None => None,
+        Some(s) => Some(u64::from_str_radix(s, 16).map_err(|_| "subject is unusable")?),
+    };
+    let hint = |name, why| match field(name) {
+        None => Ok(None),
+        Some(text) => positive(text).map(Some).ok_or(why),
+    };
+    Ok(Request {
+        group,
+        id,
+        customer: field("owner").unwrap_or(""),
+        wait: Span::from_secs(wait / 1e3),
+        reference,
+        key,
+        work: hint("ms", "ms is unusable")?.filter(|n| *n > 0.0).map(|n| Span::from_secs(n / 1e3)),
+        memory_mb: hint("est_mb", "est_mb is unusable")?.filter(|n| *n > 0.0),
+        statement,
+    })
+}
+
+/// An answer to a client.
+#[derive(Debug, PartialEq)]
+pub enum Answer<'a> {
+    Returned(&'a [u8]),
+    /// Trying again is harmless, best after the time given.
+    PushedBack(Option<Span>),
+    Errored(&'a str),
+    Pong,
+}
+
+/// Writing into a vector cannot fail, so the results of the writers below say nothing.
+pub fn encode(out: &mut Vec<u8>, id: u32, answer: &Answer) {
+    use rmp::encode::*;
+    let _ = write_array_len(out, 4);
+    let _ = write_uint(out, 1);
+    let _ = write_uint(out, u64::from(id));
+    let fault = |out: &mut Vec<u8>, word: &str, field: Option<(&str, &str)>| {
+        let _ = write_array_len(out, 2);
+        let _ = write_str(out, word);
+        let _ = write_map_len(out, field.iter().len() as u32);
+        if let Some((name, value)) = field {
+            let _ = write_str(out, name);
+            let _ = write_str(out, value);
+        }
+        let _ = write_nil(out);
+    };
+    match answer {
+        Answer::Returned(body) => {
+            let _ = write_nil(out);
+            let _ = write_array_len(out, 2);
+            let _ = write_bin(out, body);
+            let _ = write_map_len(out, 0);
+        }
+        Answer::PushedBack(wait) => {
+            let wait = wait.map(|w| (w.micros() / 1000).to_string());
+            fault(out, "Rejected", wait.as_deref().map(|w| ("holdoff", w)));
+        }
+        Answer::Errored(why) => fault(out, "Errored", Some(("reason", why))),
+        Answer::Pong => {
+            let _ = write_nil(out);
+            let _ = write_array_len(out, 2);
+            let _ = write_bool(out, true);
+            let _ = write_map_len(out, 0);
+        }
+    }
+}
--- a/adapter/src/settings.rs
+++ b/settings/src/lib.rs
@@ -20,12 +20,15 @@
     period: u64,
     safety: RawSafety,
     stats: RawStats,
+    zones: Vec<String>,
 }
 
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct RawCaps {
     cancel: bool,
+    connect_timeout: u64,
+    idle_close: u64,
     probes: bool,
     max_attempts: usize,
     max_retry_after: u64,
@@ -39,9 +42,11 @@
     aim_stretch: f64,
     dedup_window: u64,
     effect: String,
+    hard_limit: u64,
     keep_order: bool,
     key_scope: String,
     models_open: Option<Vec<usize>>,
+    name: String,
     stays_in: Option<Vec<usize>>,
     worth: f64,
 }
@@ -64,6 +69,7 @@
 #[serde(default)]
 struct RawCustomer {
     allowance_per_s: f64,
+    name: String,
 }
 
 #[derive(Deserialize, Default)]
@@ -98,6 +104,22 @@
     pub tells_work: bool,
     pub report_fields: Vec<String>,
     pub must_ask: bool,
+    pub names: Names,
+    /// How long clients of each service group wait at most.
+    pub limits: Vec<Span>,
+    /// A connection that is not up by then counts as failed.
+    pub connect_within: Span,
+    /// Engines close connections that were idle this long.
+    pub idle_close: Span,
+}
+
+/// What the settings call things; the place in each list is the index that decisions use.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub groups: Vec<String>,
+    pub customers: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
 }
 
 pub fn read(text: &[u8]) -> Result<Settings, String> {
@@ -175,5 +197,14 @@
         tells_work: raw.domain.cost_in_answers,
         report_fields: raw.stats.fields,
         must_ask: raw.discovery == "subscribe",
+        limits: raw.classes.iter().map(|g| us(g.hard_limit)).collect(),
+        connect_within: us(raw.caps.connect_timeout),
+        idle_close: us(raw.caps.idle_close),
+        names: Names {
+            groups: raw.classes.into_iter().map(|g| g.name).collect(),
+            customers: raw.parties.into_iter().map(|p| p.name).collect(),
+            zones: raw.zones,
+            kinds: raw.models,
+        },
     })
 }
