--- a/front/src/board.rs
+++ b/front/src/board.rs
@@ -1,7 +1,7 @@
 //! Follows the notice board: connected for as long as it speaks, connected again when it does not.
 
 use crate::state::State;
-use crate::state::clock::std;
+use crate::state::clock::wait;
 use crate::wire::board::{self, Event, Frame};
 use larchfall::time::Span;
 use may::net::TcpStream;
@@ -26,7 +26,7 @@
         let reason = listen(state, address, &mut frames);
         info!(state.log, "notice board connection ended"; "reason" => reason, "frames" => frames);
         pause = if frames > 0 { FIRST_PAUSE } else { (pause * 2.0).min(LONGEST_PAUSE) };
-        may::coroutine::sleep(std(pause * (0.5 + 0.5 * chance.generate::<f64>())));
+        may::coroutine::sleep(wait(pause * (0.5 + 0.5 * chance.generate::<f64>())));
     }
 }
 
@@ -40,10 +40,10 @@
 
 /// Listens until the connection ends; the reason.
 fn listen(state: &Arc<State>, address: SocketAddrV4, frames: &mut u64) -> &'static str {
-    let Ok(mut stream) = TcpStream::connect_timeout(&SocketAddr::V4(address), std(CONNECT_WITHIN)) else {
+    let Ok(mut stream) = TcpStream::connect_timeout(&SocketAddr::V4(address), wait(CONNECT_WITHIN)) else {
         return "no-connection";
     };
-    let _ = stream.set_read_timeout(Some(std(SILENCE)));
+    let _ = stream.set_read_timeout(Some(wait(SILENCE)));
     if stream.write_all(&board::since(state.facade.seen())).is_err() {
         return "not-written";
     }
--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -3,7 +3,7 @@
 
 use crate::link::{Fault, Link, NoLink};
 use crate::state::State;
-use crate::state::clock::std;
+use crate::state::clock::wait;
 use crate::state::peer::Peer;
 use crate::wire::http::{self, Reply, Start};
 use crate::wire::rpc;
@@ -193,7 +193,7 @@
                 }
                 Err(_) => {
                     link.take().into_iter().for_each(|l| self.done(l, None));
-                    may::coroutine::sleep(std(PAUSE));
+                    may::coroutine::sleep(wait(PAUSE));
                 }
             }
             match self.look() {
@@ -305,7 +305,7 @@
             if self.state.clock.now() >= until {
                 return ended(outcome);
             }
-            may::coroutine::sleep(std(PAUSE));
+            may::coroutine::sleep(wait(PAUSE));
         }
     }
 
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -2,7 +2,7 @@
 
 use super::config::Config;
 use super::{log, stop};
-use crate::state::clock::{Clock, std as span};
+use crate::state::clock::{Clock, wait};
 use crate::state::counters::Counters;
 use crate::state::facade::Facade;
 use crate::state::peer::Peers;
@@ -45,7 +45,7 @@
             may::go!(move || timer::run(&s1));
             may::go!(move || board::follow(&s2, board_address, seed));
             may::go!(move || accept(&s3, &listener));
-            stop::wait(&state, signals);
+            stop::until_ended(&state, signals);
         })
     };
     let ended = main.join();
@@ -84,7 +84,7 @@
 fn accept(state: &Arc<State>, listener: &TcpListener) {
     loop {
         if state.peers.len() >= state.limits.clients {
-            may::coroutine::sleep(span(PAUSE));
+            may::coroutine::sleep(wait(PAUSE));
             continue;
         }
         match listener.accept() {
@@ -95,7 +95,7 @@
             }
             Err(e) => {
                 warn!(state.log, "accept: {}", e);
-                may::coroutine::sleep(span(PAUSE));
+                may::coroutine::sleep(wait(PAUSE));
             }
         }
     }
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -3,7 +3,7 @@
 
 use super::serve;
 use crate::state::State;
-use crate::state::clock::std;
+use crate::state::clock::wait;
 use larchfall::time::Span;
 use may::os::unix::net::UnixStream;
 use signal_hook::consts::{SIGTERM, SIGUSR1};
@@ -40,7 +40,7 @@
 }
 
 /// Blocks until this front has ended.
-pub fn wait(state: &Arc<State>, signals: Signals) {
+pub fn until_ended(state: &Arc<State>, signals: Signals) {
     let Signals { mut term, mut ask } = signals;
     let asked = state.clone();
     may::go!(move || {
@@ -59,7 +59,7 @@
     info!(state.log, "told to stop"; "in_hand" => state.facade.in_hand(), "clients" => state.peers.len());
     let killed = ends + LAST_ANSWERS;
     loop {
-        may::coroutine::sleep(std(LOOK));
+        may::coroutine::sleep(wait(LOOK));
         let now = state.clock.now();
         let done = state.facade.in_hand() == 0 && state.peers.are_idle();
         if (done && now.since(told) >= CLIENTS_COME) || now >= killed {
--- a/front/src/state/clock.rs
+++ b/front/src/state/clock.rs
@@ -19,12 +19,14 @@
         At::from_micros(self.unix.micros()) + Span::from_micros(self.from.elapsed().as_micros() as u64)
     }
 
-    /// The time left until then, for calls of the operating system.
+    /// The time left until then, as a wait; zero once it has come.
     pub fn left(&self, until: At) -> Duration {
-        std(until.since(self.now()))
+        wait(until.since(self.now()))
     }
 }
 
-pub fn std(span: Span) -> Duration {
-    Duration::from_micros(span.micros())
+/// A span as a wait, in whole milliseconds and never rounded down: the coroutine crate keeps waits as whole
+/// milliseconds, and takes none for a wait without end.
+pub fn wait(span: Span) -> Duration {
+    Duration::from_millis(span.micros().div_ceil(1000))
 }
