A dispatch holds one seat for a connection to its end; none is told as never sent

Connections were taken for each call, by whoever came first (pool.rs enter/exit). Now a dispatch takes a seat for its whole life, within 20 ms, and one without a seat is told as never sent, which says nothing of the engine. The pause after a call that ran into its time-out made 16,000 answers up to 19 ms late; it now ends with the time-out.

--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -172,11 +172,12 @@
     state.counters.group(group, |c| c.taken += 1);
     let now = state.clock.now();
     let limit = now + request.wait.min(state.group_limits[group]);
+    let batch_limit = state.ends().map_or(limit, |ends| limit.min(ends));
     let batch = Batch {
         group,
         customer: state.names.customers.iter().position(|c| c == request.customer),
         key: request.key,
-        time_limit: state.ends().map_or(limit, |ends| limit.min(ends)),
+        time_limit: batch_limit,
         work: request.work,
         memory_mb: request.memory_mb,
         data_set: table_group(request.statement).unwrap_or(0),
@@ -191,6 +192,7 @@
         id: request.id.to_owned(),
         group,
         in_order: state.in_order[group],
+        limit: batch_limit,
         reference: request.reference.map(str::to_owned),
         statement: request.statement.to_vec(),
     };
--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -12,12 +12,15 @@
 use slog::warn;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// An engine answers a call for news after 250 ms at the latest; a connection that takes longer than this
 /// hangs, and another is opened well within the 2 s after which the engine gives the query up.
 const NEWS_WITHIN: Span = Span::from_millis(700);
 const FORGOTTEN_AFTER: Span = Span::from_millis(2000);
 const PAUSE: Span = Span::from_millis(20);
+/// A dispatch that finds all descriptors in use is better told so at once.
+const SEAT_WITHIN: Span = Span::from_millis(20);
 /// Giving up must not hold up an answer.
 const GIVE_UP_WITHIN: Span = Span::from_millis(100);
 const GIVE_UP_LATE: Span = Span::from_millis(20);
@@ -31,6 +34,8 @@
     pub id: String,
     pub group: usize,
     pub in_order: bool,
+    /// When its client gives up.
+    pub limit: At,
     pub reference: Option<String>,
     pub statement: Vec<u8>,
 }
@@ -94,6 +99,11 @@
 /// The one final answer, counted where somebody still waits for it.
 pub fn answer(state: &State, peer: &Peer, task: &Task, answer: &rpc::Answer) {
     if peer.answer(task.message, answer) {
+        let now = state.clock.now();
+        if now > task.limit {
+            warn!(state.log, "answered late"; "id" => &task.id, "late_ms" => now.since(task.limit).micros() / 1000,
+                "group" => &state.names.groups[task.group], "with" => answer.word());
+        }
         state.counters.group(task.group, |c| match answer {
             rpc::Answer::Returned(_) => c.returned += 1,
             rpc::Answer::PushedBack(_) => c.pushed_back += 1,
@@ -138,7 +148,17 @@
         self.state.ends().map_or(until, |ends| until.min(ends))
     }
 
+    /// Without a seat nothing was sent, and that says nothing of the engine.
     fn make(&self) -> Ended {
+        if !self.state.pool.take_seat(wait(SEAT_WITHIN)) {
+            return ended(Outcome::Moot);
+        }
+        let ended = self.seated();
+        self.state.pool.leave_seat();
+        ended
+    }
+
+    fn seated(&self) -> Ended {
         let mut link = match self.link(self.until()) {
             Ok(link) => link,
             Err(_) => return ended(Outcome::ConnectFailed),
@@ -158,14 +178,14 @@
         let mut reply = self.call(&mut link, &call);
         // A call of which nothing left is no dispatch: a fresh connection may carry it.
         if reply == Err(Fault::Unsent) {
-            self.done(link, None);
+            drop(link);
             link = match self.link(self.until()) {
                 Ok(link) => link,
                 Err(_) => return ended(Outcome::ConnectFailed),
             };
             reply = self.call(&mut link, &call);
             if reply == Err(Fault::Unsent) {
-                self.done(link, None);
+                drop(link);
                 return ended(Outcome::ConnectFailed);
             }
         }
@@ -187,19 +207,29 @@
                 Ok(reply) if reply.status == 200 => return self.collect(link, reply),
                 Ok(reply) => {
                     let declined = reply.declined && matches!(reply.status, 503 | 504);
-                    self.keep(link, reply.closes).into_iter().for_each(|l| self.done(l, Some(())));
+                    self.keep(link, reply.closes).into_iter().for_each(|l| self.done(l));
                     let outcome = if declined { Outcome::Full } else { Outcome::Errored };
                     return (outcome, Vec::new(), reply.report);
                 }
                 Err(_) => {
-                    link.take().into_iter().for_each(|l| self.done(l, None));
-                    may::coroutine::sleep(wait(PAUSE));
+                    drop(link.take());
+                    let pause = PAUSE.min(self.until().since(self.state.clock.now()));
+                    if pause > Span::ZERO {
+                        may::coroutine::sleep(wait(pause));
+                    }
                 }
             }
             match self.look() {
                 Look::GoOn => {}
                 Look::CallOff => return self.give_up(link, GIVE_UP_WITHIN, Outcome::CalledOff),
-                Look::TimedOut => return self.give_up(link, GIVE_UP_LATE, Outcome::TimedOut),
+                Look::TimedOut if self.task.in_order => {
+                    return self.give_up(link, GIVE_UP_LATE, Outcome::TimedOut);
+                }
+                // No other batch hangs on its end, and the answer is due.
+                Look::TimedOut => {
+                    self.give_up_beside(link);
+                    return ended(Outcome::TimedOut);
+                }
             }
             if link.is_none() {
                 link = match self.link(self.until()) {
@@ -239,7 +269,7 @@
         let pages = first.pages.unwrap_or(1);
         if pages > MOST_PAGES {
             warn!(self.state.log, "result of {} pages is passed over", pages);
-            link.take().into_iter().for_each(|l| self.done(l, None));
+            drop(link.take());
             return (Outcome::Errored, Vec::new(), report);
         }
         link = self.keep(link, first.closes);
@@ -248,14 +278,14 @@
             match self.page(&mut link, number) {
                 Some(page) => rows.extend_from_slice(&page),
                 None => {
-                    link.take().into_iter().for_each(|l| self.done(l, None));
+                    drop(link.take());
                     let late = self.state.clock.now() >= self.until();
                     let outcome = if late { Outcome::TimedOut } else { Outcome::Errored };
                     return (outcome, Vec::new(), report);
                 }
             }
         }
-        link.take().into_iter().for_each(|l| self.done(l, Some(())));
+        link.take().into_iter().for_each(|l| self.done(l));
         (Outcome::Returned, rows, report)
     }
 
@@ -272,7 +302,7 @@
                     return Some(reply.body);
                 }
                 Ok(_) => return None,
-                Err(_) => link.take().into_iter().for_each(|l| self.done(l, None)),
+                Err(_) => drop(link.take()),
             }
         }
         None
@@ -297,7 +327,9 @@
                 let by = until.min(self.state.clock.now() + NEWS_WITHIN);
                 let reply = open.call(&ask, &self.state.clock, by);
                 let good = matches!(&reply, Ok(r) if !r.closes);
-                self.done(open, good.then_some(()));
+                if good {
+                    self.done(open);
+                }
                 if reply.is_ok() {
                     return ended(outcome);
                 }
@@ -309,6 +341,23 @@
         }
     }
 
+    fn give_up_beside(&self, link: Option<Link>) {
+        let ask = http::give_up(self.address, &self.task.id);
+        let (state, e, address) = (self.state.clone(), self.to.engine, self.address);
+        if !state.pool.take_seat(Duration::ZERO) {
+            return;
+        }
+        may::go!(move || {
+            let until = state.clock.now() + GIVE_UP_WITHIN;
+            if let Some(mut link) = link.or_else(|| self::link(&state, e, address, until).ok())
+                && matches!(link.call(&ask, &state.clock, until), Ok(reply) if !reply.closes)
+            {
+                state.pool.keep(e, link, state.clock.now());
+            }
+            state.pool.leave_seat();
+        });
+    }
+
     fn call(&self, link: &mut Link, call: &[u8]) -> Result<Reply, Fault> {
         let now = self.state.clock.now();
         link.call(call, &self.state.clock, self.until().min(now + NEWS_WITHIN))
@@ -319,45 +368,45 @@
         link(self.state, self.to.engine, self.address, until)
     }
 
-    fn done(&self, link: Link, good: Option<()>) {
-        self.state.pool.exit(self.to.engine, good.map(|()| link), self.state.clock.now());
+    fn done(&self, link: Link) {
+        self.state.pool.keep(self.to.engine, link, self.state.clock.now());
     }
 
     /// Lets go of a connection that the engine ends.
     fn keep(&self, link: Option<Link>, closes: bool) -> Option<Link> {
         if closes {
-            link.into_iter().for_each(|l| self.done(l, None));
             return None;
         }
         link
     }
 }
 
+/// An idle connection to an engine, or a new one; only for the seated.
 fn link(state: &State, e: usize, address: SocketAddrV4, until: At) -> Result<Link, NoLink> {
-    let by = until.min(state.clock.now() + state.connect_within);
-    if !state.pool.enter(state.clock.left(by)) {
-        return Err(NoLink::Silent);
-    }
     let now = state.clock.now();
     if let Some(link) = state.pool.idle(e, now) {
         return Ok(link);
     }
-    let (in_use, idle) = state.pool.open();
-    state.counters.rest(|c| c.most_links = c.most_links.max(in_use + idle));
-    Link::open(address, state.clock.left(by)).inspect_err(|_| state.pool.exit(e, None, now))
+    let (seated, idle) = state.pool.open();
+    state.counters.rest(|c| c.most_links = c.most_links.max(seated + idle));
+    Link::open(address, state.clock.left(until.min(now + state.connect_within)))
 }
 
-/// Asks an engine for its load report.
+/// Asks an engine for its load report; dispatches come first.
 pub fn probe(state: &State, e: usize) {
+    if !state.pool.take_seat(Duration::ZERO) {
+        return;
+    }
     state.counters.rest(|c| c.probes += 1);
     let address = state.facade.address(e);
     let until = state.clock.now() + state.connect_within;
-    let mut report = Report::default();
-    if let Ok(mut link) = link(state, e, address, until) {
-        let reply = link.call(&http::stats(address), &state.clock, until);
-        let good = matches!(&reply, Ok(r) if !r.closes);
-        report = reply.map(|r| r.report).unwrap_or_default();
-        state.pool.exit(e, good.then_some(link), state.clock.now());
+    if let Ok(mut link) = link(state, e, address, until)
+        && let Ok(reply) = link.call(&http::stats(address), &state.clock, until)
+    {
+        if !reply.closes {
+            state.pool.keep(e, link, state.clock.now());
+        }
+        state.facade.probed(e, reply.report);
     }
-    state.facade.probed(e, report);
+    state.pool.leave_seat();
 }
--- a/front/src/state/pool.rs
+++ b/front/src/state/pool.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 pub struct Pool {
-    in_use: Semphore,
+    seats: Semphore,
     idle: Mutex<Idle>,
     most: usize,
     keep: Span,
@@ -20,7 +20,7 @@
 struct Idle {
     by_engine: BTreeMap<usize, Vec<(At, Link)>>,
     count: usize,
-    in_use: usize,
+    seated: usize,
 }
 
 impl Idle {
@@ -37,19 +37,25 @@
 impl Pool {
     /// Engines close what was idle for `idle_close`: at half of that it is let go here.
     pub fn new(most: usize, idle_close: Span) -> Pool {
-        Pool { in_use: Semphore::new(most), idle: Mutex::default(), most, keep: idle_close * 0.5 }
+        Pool { seats: Semphore::new(most), idle: Mutex::default(), most, keep: idle_close * 0.5 }
     }
 
-    /// Waits for leave to use a connection; false when there was none in time.
-    pub fn enter(&self, within: Duration) -> bool {
-        if !self.in_use.try_wait() && (within.is_zero() || !self.in_use.wait_timeout(within)) {
-            return false;
+    /// A seat is the right to one connection at a time. It is taken for a whole dispatch, so that what was
+    /// sent can always be asked for and given up; false when none came free in time.
+    pub fn take_seat(&self, within: Duration) -> bool {
+        let seated = self.seats.try_wait() || (!within.is_zero() && self.seats.wait_timeout(within));
+        if seated {
+            lock(&self.idle).seated += 1;
         }
-        lock(&self.idle).in_use += 1;
-        true
+        seated
     }
 
-    /// An idle connection that is still good; else makes room for a new one. Only between enter and exit.
+    pub fn leave_seat(&self) {
+        lock(&self.idle).seated -= 1;
+        self.seats.post();
+    }
+
+    /// An idle connection that is still good; else makes room for a new one. Only for the seated.
     pub fn idle(&self, e: usize, now: At) -> Option<Link> {
         let mut idle = lock(&self.idle);
         while let Some((since, link)) = idle.by_engine.get_mut(&e).and_then(Vec::pop) {
@@ -58,22 +64,21 @@
                 return Some(link);
             }
         }
-        while idle.count > 0 && idle.count + idle.in_use > self.most {
+        while idle.count > 0 && idle.count + idle.seated > self.most {
             idle.drop_oldest();
         }
         None
     }
 
-    /// Ends the use of a connection, and keeps it when it is still good.
-    pub fn exit(&self, e: usize, link: Option<Link>, now: At) {
+    /// Takes back a connection that is still good.
+    pub fn keep(&self, e: usize, link: Link, now: At) {
         let mut idle = lock(&self.idle);
-        idle.in_use -= 1;
-        if let Some(link) = link {
-            idle.by_engine.entry(e).or_default().push((now, link));
-            idle.count += 1;
+        idle.by_engine.entry(e).or_default().push((now, link));
+        idle.count += 1;
+        // The seat of whoever gives it back is still taken.
+        while idle.count + idle.seated > self.most + 1 {
+            idle.drop_oldest();
         }
-        drop(idle);
-        self.in_use.post();
     }
 
     pub fn forget(&self, e: usize) {
@@ -88,9 +93,9 @@
         idle.count = idle.by_engine.values().map(Vec::len).sum();
     }
 
-    /// Connections in use and idle.
+    /// Seats taken, and idle connections.
     pub fn open(&self) -> (usize, usize) {
         let idle = lock(&self.idle);
-        (idle.in_use, idle.count)
+        (idle.seated, idle.count)
     }
 }
--- a/front/src/wire/rpc.rs
+++ b/front/src/wire/rpc.rs
@@ -143,6 +143,17 @@
     Pong,
 }
 
+impl Answer<'_> {
+    pub fn word(&self) -> &'static str {
+        match self {
+            Answer::Returned(_) => "returned",
+            Answer::PushedBack(_) => "pushed back",
+            Answer::Errored(_) => "errored",
+            Answer::Pong => "pong",
+        }
+    }
+}
+
 /// Writing into a vector cannot fail, so the results of the writers below say nothing.
 pub fn encode(out: &mut Vec<u8>, id: u32, answer: &Answer) {
     use rmp::encode::*;
