Front tests on loopback; signals without a doubled descriptor; the module ends by a time

Seen: in the restart test the program's worker panicked in the coroutine crate ('RefCell already borrowed'), once with a misaligned pointer: memory used after it was freed. Ruled out: several workers (one is set), use from the main thread, memory tests alone (480 runs clean). Cause, in run/stop.rs stream(): the pipe for a signal was doubled with try_clone and the original closed, so its registration for events outlived it.

Seen: a front asked a moved engine at its old address for good (board test). Cause: a connection that was in use while the list changed came back to the idle ones. state/pool.rs now compares addresses, state/engines.rs tells which engines moved.

After a stall, what is read counts from when it may have been sent (state/heart.rs).

--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -6,7 +6,7 @@
 use crate::wire::rpc::{self, Message, Request};
 use crate::wire::statement::table_group;
 use larchfall::interface::{Batch, Place};
-use larchfall::time::Span;
+use larchfall::time::{At, Span};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use slog::info;
@@ -71,6 +71,8 @@
 
 fn converse(state: &Arc<State>, stream: &TcpStream, peer: &Arc<Peer>) -> Reason {
     let mut input = Vec::new();
+    // A new connection may have waited in the listener's queue for as long as a stall lasted.
+    let mut slept_since = At::default();
     loop {
         let wrote = match peer.write(|bytes| without_wait(stream.inner().write(bytes))) {
             Ok(n) => n,
@@ -81,7 +83,12 @@
             Err(reason) => return reason,
         };
         if read > 0
-            && let Err(reason) = take_messages(state, peer, &mut input)
+            && let Err(reason) = take_messages(
+                state,
+                peer,
+                &mut input,
+                state.heart.may_be_from(slept_since, state.clock.now()),
+            )
         {
             return reason;
         }
@@ -103,6 +110,7 @@
         if state.ends().is_some_and(|ends| now >= ends) && peer.is_idle() {
             return Reason::Stopped;
         }
+        slept_since = now;
         stream.wait_io();
     }
 }
@@ -126,7 +134,7 @@
     if ended { Err(Reason::ClientClosed) } else { got }
 }
 
-fn take_messages(state: &Arc<State>, peer: &Arc<Peer>, input: &mut Vec<u8>) -> Result<(), Reason> {
+fn take_messages(state: &Arc<State>, peer: &Arc<Peer>, input: &mut Vec<u8>, sent: At) -> Result<(), Reason> {
     let mut at = 0;
     while let Some((message, used)) = rpc::decode(&input[at..]).map_err(Reason::Malformed)? {
         at += used;
@@ -151,7 +159,7 @@
             Message::Batch(id, request) => match peer.opening(id) {
                 Opening::UsedTwice => return Err(Reason::IdUsedTwice),
                 Opening::TooMany => peer.say(id, &rpc::Answer::PushedBack(None)),
-                Opening::Open => take(state, peer, id, &request),
+                Opening::Open => take(state, peer, id, &request, sent),
             },
         }
     }
@@ -164,20 +172,20 @@
 }
 
 /// Takes a batch in. It is picked for here, in the order of reading, so that keys keep their order.
-fn take(state: &Arc<State>, peer: &Arc<Peer>, message: u32, request: &Request) {
+/// Its time counts from when it may have been sent.
+fn take(state: &Arc<State>, peer: &Arc<Peer>, message: u32, request: &Request, sent: At) {
     let Some(group) = state.names.groups.iter().position(|g| g == request.group) else {
         state.counters.rest(|c| c.unusable += 1);
         return peer.say(message, &rpc::Answer::Errored("unknown service group"));
     };
     state.counters.group(group, |c| c.taken += 1);
-    let now = state.clock.now();
-    let limit = now + request.wait.min(state.group_limits[group]);
-    let batch_limit = state.ends().map_or(limit, |ends| limit.min(ends));
+    let limit = sent + request.wait.min(state.group_limits[group]);
+    let limit = state.ends().map_or(limit, |ends| limit.min(ends));
     let batch = Batch {
         group,
         customer: state.names.customers.iter().position(|c| c == request.customer),
         key: request.key,
-        time_limit: batch_limit,
+        time_limit: limit,
         work: request.work,
         memory_mb: request.memory_mb,
         data_set: table_group(request.statement).unwrap_or(0),
@@ -192,7 +200,7 @@
         id: request.id.to_owned(),
         group,
         in_order: state.in_order[group],
-        limit: batch_limit,
+        limit,
         reference: request.reference.map(str::to_owned),
         statement: request.statement.to_vec(),
     };
--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -384,7 +384,7 @@
 /// An idle connection to an engine, or a new one; only for the seated.
 fn link(state: &State, e: usize, address: SocketAddrV4, until: At) -> Result<Link, NoLink> {
     let now = state.clock.now();
-    if let Some(link) = state.pool.idle(e, now) {
+    if let Some(link) = state.pool.idle(e, address, now) {
         return Ok(link);
     }
     let (seated, idle) = state.pool.open();
--- a/front/src/link.rs
+++ b/front/src/link.rs
@@ -10,6 +10,7 @@
 
 pub struct Link {
     stream: TcpStream,
+    address: SocketAddrV4,
     input: Vec<u8>,
 }
 
@@ -40,13 +41,17 @@
         match TcpStream::connect_timeout(&SocketAddr::V4(address), within) {
             Ok(stream) => {
                 let _ = stream.set_nodelay(true);
-                Ok(Link { stream, input: Vec::new() })
+                Ok(Link { stream, address, input: Vec::new() })
             }
             Err(e) if e.kind() == ErrorKind::ConnectionRefused => Err(NoLink::Refused),
             Err(_) => Err(NoLink::Silent),
         }
     }
 
+    pub fn address(&self) -> SocketAddrV4 {
+        self.address
+    }
+
     /// Whether nothing came while it was idle: an end or stray bytes make it useless.
     pub fn is_quiet(&self) -> bool {
         let mut byte = [0];
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -2,12 +2,13 @@
 
 use super::config::Config;
 use super::{log, stop};
+use crate::state::State;
 use crate::state::clock::{Clock, wait};
 use crate::state::counters::Counters;
 use crate::state::facade::Facade;
+use crate::state::heart::Heart;
 use crate::state::peer::Peers;
 use crate::state::pool::Pool;
-use crate::state::{State, lock};
 use crate::{board, client, timer};
 use larchfall::policy::Policy;
 use larchfall::time::Span;
@@ -36,8 +37,8 @@
         board::take(&state, event);
     }
     let signals = stop::Signals::listen().map_err(|e| (1, format!("signals: {e}")))?;
-    info!(state.log, "listening"; "address" => address.to_string(), "clients" => state.limits.clients,
-        "engine_links" => state.limits.engine_links, "batches" => state.limits.batches);
+    info!(state.log, "listening"; "clients" => state.limits.clients, "engine_links" => state.limits.engine_links,
+        "batches" => state.limits.batches, "address" => listener.local_addr().unwrap_or(address.into()).to_string());
     let main = {
         let state = state.clone();
         may::go!(move || {
@@ -74,6 +75,7 @@
         facade: Facade::new(policy, clock, limits.batches),
         peers: Peers::new(limits.unread),
         pool: Pool::new(limits.engine_links, s.idle_close),
+        heart: Heart::start(clock.now()),
         limits,
         log,
         ends: Mutex::new(None),
@@ -100,8 +102,3 @@
         }
     }
 }
-
-/// Tells all parts when this front ends.
-pub fn end_at(state: &State, at: larchfall::time::At) {
-    *lock(&state.ends) = Some(at);
-}
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -1,15 +1,15 @@
 //! Signals, and the end: a front that was told to stop goes on serving for as long as clients may still come,
 //! answers what it holds, and ends before it can be killed.
 
-use super::serve;
 use crate::state::State;
 use crate::state::clock::wait;
 use larchfall::time::Span;
-use may::os::unix::net::UnixStream;
+use may::io::CoIo;
 use signal_hook::consts::{SIGTERM, SIGUSR1};
 use signal_hook::low_level::pipe;
 use slog::info;
 use std::io::{self, Read};
+use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 
 /// New connections come for 0.4 s after SIGTERM, requests on open ones for 0.2 s more.
@@ -23,8 +23,8 @@
 
 /// Signals as bytes on a stream, so that a coroutine can wait for them.
 pub struct Signals {
-    term: UnixStream,
-    ask: UnixStream,
+    term: CoIo<UnixStream>,
+    ask: CoIo<UnixStream>,
 }
 
 impl Signals {
@@ -33,10 +33,12 @@
     }
 }
 
-fn stream(signal: i32) -> io::Result<UnixStream> {
+/// Only the reading end is known to the coroutine crate, and no descriptor of it is ever doubled: a double
+/// keeps what was closed registered for events, which then reach memory that is free already.
+fn stream(signal: i32) -> io::Result<CoIo<UnixStream>> {
     let (write, read) = UnixStream::pair()?;
-    pipe::register(signal, write.inner().try_clone()?)?;
-    Ok(read)
+    pipe::register(signal, write)?;
+    Ok(CoIo::new(read)?)
 }
 
 /// Blocks until this front has ended.
@@ -55,7 +57,7 @@
     let told = state.clock.now();
     let longest = state.group_limits.iter().max().copied().unwrap_or_default().min(LONGEST_WAIT);
     let ends = told + Span::from_micros((longest + KILL_AFTER).micros() - LAST_ANSWERS.micros());
-    serve::end_at(state, ends);
+    state.end_at(ends);
     info!(state.log, "told to stop"; "in_hand" => state.facade.in_hand(), "clients" => state.peers.len());
     let killed = ends + LAST_ANSWERS;
     loop {
--- a/front/src/state/engines.rs
+++ b/front/src/state/engines.rs
@@ -9,7 +9,7 @@
 #[derive(Default)]
 pub struct Engines {
     by_id: HashMap<u32, usize>,
-    addresses: Vec<SocketAddrV4>,
+    entries: Vec<Entry>,
     /// The last event that was taken in.
     seen: u64,
 }
@@ -20,6 +20,8 @@
     pub told: Vec<(usize, Engine)>,
     /// A whole list drops what it does not name.
     pub left: Vec<usize>,
+    /// Other processes than before: what was connected to the one before is of no more use.
+    pub moved: Vec<usize>,
 }
 
 impl Engines {
@@ -28,7 +30,7 @@
     }
 
     pub fn address(&self, e: usize) -> SocketAddrV4 {
-        self.addresses[e]
+        self.entries[e].address
     }
 
     /// A number that was seen already changes nothing.
@@ -37,20 +39,22 @@
             return Changes::default();
         }
         self.seen = event.number;
-        let told: Vec<_> = event.entries.iter().map(|entry| (self.index(entry), engine(entry))).collect();
-        let named = |e: &usize| told.iter().any(|(t, _)| t == e);
-        let left = (0..self.addresses.len()).filter(|e| event.whole && !named(e)).collect();
-        Changes { told, left }
-    }
-
-    fn index(&mut self, entry: &Entry) -> usize {
-        let next = self.addresses.len();
-        let e = *self.by_id.entry(entry.id).or_insert(next);
-        if e == next {
-            self.addresses.push(entry.address);
+        let mut changes = Changes::default();
+        for entry in &event.entries {
+            let next = self.entries.len();
+            let e = *self.by_id.entry(entry.id).or_insert(next);
+            if e == next {
+                self.entries.push(*entry);
+            }
+            let before = std::mem::replace(&mut self.entries[e], *entry);
+            if (before.address, before.started_ms) != (entry.address, entry.started_ms) {
+                changes.moved.push(e);
+            }
+            changes.told.push((e, engine(entry)));
         }
-        self.addresses[e] = entry.address;
-        e
+        let named = |e: &usize| changes.told.iter().any(|(t, _)| t == e);
+        changes.left = (0..self.entries.len()).filter(|e| event.whole && !named(e)).collect();
+        changes
     }
 }
 
--- a/front/src/state/facade.rs
+++ b/front/src/state/facade.rs
@@ -87,6 +87,11 @@
         lock(&self.inner).policy.after(self.clock.now(), b, number, answer)
     }
 
+    /// This front ends then.
+    pub fn end_by(&self, at: At) {
+        lock(&self.inner).policy.end_by(at);
+    }
+
     pub fn note(&self, b: usize, number: u8, note: Note) {
         lock(&self.inner).policy.note(self.clock.now(), b, number, note);
     }
@@ -160,12 +165,9 @@
         for (e, engine) in &changes.told {
             inner.policy.engine(now, *e, *engine);
         }
-        for e in &changes.left {
-            inner.policy.engine_left(*e);
-        }
-        let gone =
-            changes.told.iter().filter(|(_, engine)| engine.state == EngineState::Gone).map(|(e, _)| *e);
-        gone.chain(changes.left.iter().copied()).collect()
+        changes.left.iter().for_each(|e| inner.policy.engine_left(*e));
+        let gone = changes.told.iter().filter(|(_, engine)| engine.state == EngineState::Gone);
+        gone.map(|(e, _)| *e).chain(changes.left).chain(changes.moved).collect()
     }
 
     /// The last event of the notice board that was taken in.
--- /dev/null
+++ b/front/src/state/heart.rs
@@ -0,0 +1,48 @@
+//! When this front stood still: a paused machine or a starved core. What is read right after it has waited for
+//! some of that time already.
+
+use super::lock;
+use larchfall::time::{At, Span};
+use std::sync::Mutex;
+
+/// The timer comes by this often.
+pub const BEAT: Span = Span::from_millis(50);
+/// A longer silence than this is no late timer.
+const STALL: Span = Span::from_millis(150);
+/// What came meanwhile is read within this much after it.
+const AFTERMATH: Span = Span::from_millis(200);
+
+pub struct Heart {
+    beats: Mutex<Beats>,
+}
+
+struct Beats {
+    last: At,
+    /// The last stall: from, until.
+    stall: (At, At),
+}
+
+impl Heart {
+    pub fn start(now: At) -> Heart {
+        Heart { beats: Mutex::new(Beats { last: now, stall: (now, now) }) }
+    }
+
+    /// Something runs; true when that ends a stall.
+    pub fn beat(&self, now: At) -> bool {
+        let mut beats = lock(&self.beats);
+        let stalled = now.since(beats.last) > STALL;
+        if stalled {
+            beats.stall = (beats.last, now);
+        }
+        beats.last = now;
+        stalled
+    }
+
+    /// The earliest time at which a reader that slept since then may have been sent what it reads now.
+    pub fn may_be_from(&self, slept_since: At, now: At) -> At {
+        self.beat(now);
+        let (from, until) = lock(&self.beats).stall;
+        let of_the_stall = slept_since <= until && now.since(until) < AFTERMATH;
+        if of_the_stall { from.max(slept_since).min(now) } else { now }
+    }
+}
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -5,6 +5,7 @@
 pub mod due;
 pub mod engines;
 pub mod facade;
+pub mod heart;
 pub mod limits;
 pub mod peer;
 pub mod pool;
@@ -12,6 +13,7 @@
 use clock::Clock;
 use counters::Counters;
 use facade::Facade;
+use heart::Heart;
 use larchfall::time::{At, Span};
 use larchfall_settings::Names;
 use limits::Limits;
@@ -31,6 +33,7 @@
     /// A connection to an engine that is not up by then counts as failed.
     pub connect_within: Span,
     pub limits: Limits,
+    pub heart: Heart,
     pub facade: Facade,
     pub peers: Peers,
     pub pool: Pool,
@@ -44,6 +47,12 @@
     pub fn ends(&self) -> Option<At> {
         *lock(&self.ends)
     }
+
+    /// From now on nothing is promised beyond this time.
+    pub fn end_at(&self, at: At) {
+        *lock(&self.ends) = Some(at);
+        self.facade.end_by(at);
+    }
 }
 
 /// A part that panicked while it held a lock left plain values behind: the others go on.
--- a/front/src/state/pool.rs
+++ b/front/src/state/pool.rs
@@ -6,6 +6,7 @@
 use larchfall::time::{At, Span};
 use may::sync::Semphore;
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -56,11 +57,12 @@
     }
 
     /// An idle connection that is still good; else makes room for a new one. Only for the seated.
-    pub fn idle(&self, e: usize, now: At) -> Option<Link> {
+    pub fn idle(&self, e: usize, address: SocketAddrV4, now: At) -> Option<Link> {
         let mut idle = lock(&self.idle);
         while let Some((since, link)) = idle.by_engine.get_mut(&e).and_then(Vec::pop) {
             idle.count -= 1;
-            if now.since(since) < self.keep && link.is_quiet() {
+            // One that was in use while its engine moved came back after all others were dropped.
+            if now.since(since) < self.keep && link.address() == address && link.is_quiet() {
                 return Some(link);
             }
         }
--- a/front/src/timer.rs
+++ b/front/src/timer.rs
@@ -4,9 +4,10 @@
 use crate::dispatch;
 use crate::state::State;
 use crate::state::facade::TICK;
+use crate::state::heart::BEAT;
 use larchfall::time::Span;
 use may::sync::Blocker;
-use slog::info;
+use slog::{info, warn};
 use std::sync::Arc;
 
 pub fn run(state: &Arc<State>) {
@@ -15,12 +16,15 @@
     loop {
         let next_due = state.facade.wake_due(&blocker);
         let now = state.clock.now();
+        if state.heart.beat(now) {
+            warn!(state.log, "this front stood still");
+        }
         if now >= next_tick {
             tick(state);
             // Ticks that a stall left out are not made up for.
             next_tick = (next_tick + TICK).max(now + Span::from_millis(1));
         }
-        let until = next_due.map_or(next_tick, |due| due.min(next_tick));
+        let until = next_due.map_or(next_tick, |due| due.min(next_tick)).min(now + BEAT);
         let left = state.clock.left(until);
         if !left.is_zero() {
             let _ = blocker.park(Some(left));
--- /dev/null
+++ b/front/tests/front/main.rs
@@ -0,0 +1,6 @@
+//! The front's tests: codecs and memory as tables of cases, and the program on loopback sockets.
+
+mod codecs;
+mod common;
+mod memory;
+mod sockets;
--- /dev/null
+++ b/front/tests/front/memory.rs
@@ -0,0 +1,320 @@
+//! What memory keeps, part by part, and the configuration and command line, without the program.
+
+use crate::common;
+use larchfall::interface::{EngineState, Outcome};
+use larchfall::time::{At, Span};
+use larchfall_front::link::{Fault, Link, NoLink};
+use larchfall_front::run::command::{Task, parse};
+use larchfall_front::run::config;
+use larchfall_front::state::clock::{Clock, wait};
+use larchfall_front::state::counters::Counters;
+use larchfall_front::state::due::Due;
+use larchfall_front::state::engines::{Changes, Engines};
+use larchfall_front::state::heart::Heart;
+use larchfall_front::state::limits::Limits;
+use larchfall_front::state::peer::{MOST_OPEN, Opening, Peers};
+use larchfall_front::state::pool::Pool;
+use larchfall_front::wire::board::{Entry, Event};
+use larchfall_front::wire::{http, rpc};
+use larchfall_toy::engine::{Act, Engine};
+use may::io::WaitIo;
+use std::io::Read;
+use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::time::Duration;
+
+fn ms(n: u64) -> At {
+    At::from_micros(1_000_000_000) + Span::from_millis(n)
+}
+
+#[test]
+fn waits_are_never_rounded_down_to_none() {
+    for (us, expected) in [(0, 0), (1, 1), (999, 1), (1000, 1), (1001, 2), (250_000, 250)] {
+        assert_eq!(wait(Span::from_micros(us)), Duration::from_millis(expected), "{us} us");
+    }
+}
+
+#[test]
+fn due_times_come_in_order_and_once() {
+    let mut due = Due::default();
+    assert!(due.insert(ms(20), 1));
+    assert!(!due.insert(ms(30), 2));
+    assert!(due.insert(ms(10), 3));
+    assert!(!due.insert(ms(10), 4));
+    due.remove(ms(30), 2);
+    assert_eq!((due.first(), due.take(ms(9))), (Some(ms(10)), vec![]));
+    assert_eq!((due.take(ms(10)), due.take(ms(10))), (vec![3, 4], vec![]));
+    assert_eq!((due.take(ms(50)), due.first()), (vec![1], None));
+}
+
+#[test]
+fn what_is_read_after_a_stall_may_be_as_old_as_the_stall() {
+    // When the reader went to sleep and when it reads; the last beat was at 100, the next comes with the read.
+    let cases = [
+        ("no stall", 90, 200, 200),
+        ("asleep all through it", 50, 2100, 100),
+        ("since within it", 120, 2100, 120),
+        ("a new connection", 0, 2100, 100),
+    ];
+    for (what, slept_since, now, expected) in cases {
+        let heart = Heart::start(ms(0));
+        assert!(!heart.beat(ms(100)));
+        assert_eq!(heart.may_be_from(ms(slept_since), ms(now)), ms(expected), "{what}");
+    }
+    let heart = Heart::start(ms(0));
+    assert!(heart.beat(ms(2000)));
+    assert_eq!(heart.may_be_from(ms(10), ms(2100)), ms(10), "woken by the stall's end");
+    assert_eq!(heart.may_be_from(ms(2050), ms(2110)), ms(2110), "went to sleep after it");
+    for now in (2110..2400).step_by(50) {
+        heart.beat(ms(now));
+    }
+    assert_eq!(heart.may_be_from(ms(10), ms(2400)), ms(2400), "long after it");
+}
+
+#[test]
+fn limits_follow_the_machine_and_leave_descriptors_over() {
+    for (memory, sockets) in [(192, 1024), (2048, 4096), (64, 128), (16, 30)] {
+        let l = Limits::new(memory, sockets).unwrap();
+        assert!(l.clients + l.engine_links + 16 <= sockets, "{l:?}");
+        assert!(l.clients * 3 >= (sockets - 24), "clients hold a third at most: {l:?}");
+        assert!(l.unread <= memory << 18, "{l:?}");
+    }
+    for (memory, sockets) in [(192, 0), (192, 24), (0, 1024)] {
+        assert_eq!(Limits::new(memory, sockets), None, "{memory} MB, {sockets} sockets");
+    }
+}
+
+fn entry(id: u32, port: u16, state: EngineState) -> Entry {
+    let address = SocketAddrV4::new([10, 0, 0, 1].into(), port);
+    Entry { id, address, state, zone: 0, kind: 0, cell: 0, started_ms: 5 }
+}
+
+#[test]
+fn engines_are_told_apart_by_id_and_each_number_counts_once() {
+    use EngineState::{Gone, Ready};
+    let event = |number, whole, entries: &[Entry]| Event { number, whole, entries: entries.to_vec() };
+    // The event, then which engines it tells of, drops, and has found to be other processes than before.
+    type Step<'a> = (Event, [&'a [usize]; 3]);
+    let steps: [Step; 6] = [
+        (event(1, true, &[entry(7, 1, Ready), entry(8, 2, Ready)]), [&[0, 1], &[], &[]]),
+        (event(1, true, &[entry(9, 3, Ready)]), [&[], &[], &[]]),
+        (event(2, false, &[entry(8, 2, Gone)]), [&[1], &[], &[]]),
+        (event(4, false, &[entry(9, 2, Ready)]), [&[2], &[], &[]]),
+        (event(3, true, &[]), [&[], &[], &[]]),
+        (event(5, true, &[entry(9, 4, Ready)]), [&[2], &[0, 1], &[2]]),
+    ];
+    let mut engines = Engines::default();
+    for (event, expected) in steps {
+        let Changes { told: got, left, moved } = engines.follow(&event);
+        let told: Vec<usize> = got.iter().map(|(e, _)| *e).collect();
+        assert_eq!([&told[..], &left, &moved], expected, "{event:?}");
+        assert!(got.iter().all(|(_, e)| e.started == Some(At::from_micros(5000))));
+    }
+    assert_eq!((engines.seen(), engines.address(2).port(), engines.address(1).port()), (5, 4, 2));
+}
+
+fn v4(address: SocketAddr) -> SocketAddrV4 {
+    address.to_string().parse().unwrap()
+}
+
+const SOON: Duration = Duration::from_secs(20);
+
+/// Runs this as the program does: on coroutines of one worker, which is what its connections are made for.
+fn in_coroutine(run: impl FnOnce() + Send + 'static) {
+    may::config().set_workers(1).set_stack_size(16 * 1024);
+    may::go!(run).join().unwrap();
+}
+
+#[test]
+fn idle_connections_are_used_again_only_while_they_are_good() {
+    in_coroutine(|| {
+        let engine = Engine::start("127.0.0.1:0", |_| Act::Decline).unwrap();
+        let closing = TcpListener::bind("127.0.0.1:0").unwrap();
+        let pool = Pool::new(2, Span::from_millis(10_000));
+        let open = |address| Link::open(v4(address), SOON).unwrap();
+        pool.keep(0, open(engine.address), ms(0));
+        assert!(pool.idle(1, v4(engine.address), ms(10)).is_none(), "of another engine");
+        assert!(pool.idle(0, v4(engine.address), ms(10)).is_some(), "fresh");
+        assert!(pool.idle(0, v4(engine.address), ms(10)).is_none(), "handed out once");
+        pool.keep(0, open(engine.address), ms(0));
+        assert!(pool.idle(0, v4(engine.address), ms(5_000)).is_none(), "near the engine's idle time");
+        let link = open(closing.local_addr().unwrap());
+        drop(closing.accept().unwrap());
+        common::wait_for("the end to arrive", || (!link.is_quiet()).then_some(()));
+        pool.keep(0, link, ms(0));
+        assert!(pool.idle(0, v4(closing.local_addr().unwrap()), ms(1)).is_none(), "closed by the engine");
+        pool.keep(0, open(engine.address), ms(0));
+        let elsewhere = pool.idle(0, v4(closing.local_addr().unwrap()), ms(1));
+        assert!(elsewhere.is_none(), "its engine has moved");
+        pool.keep(0, open(engine.address), ms(0));
+        pool.forget(0);
+        assert!(pool.idle(0, v4(engine.address), ms(1)).is_none(), "its engine is gone");
+    });
+}
+
+#[test]
+fn seats_bound_all_connections_and_idle_ones_make_room() {
+    in_coroutine(|| {
+        let engine = Engine::start("127.0.0.1:0", |_| Act::Decline).unwrap();
+        let pool = Pool::new(2, Span::from_millis(10_000));
+        assert!(pool.take_seat(Duration::ZERO) && pool.take_seat(Duration::ZERO));
+        assert!(!pool.take_seat(Duration::ZERO), "all taken");
+        assert!(!pool.take_seat(Duration::from_millis(1)), "none came free");
+        for e in 0..4 {
+            pool.keep(e, Link::open(v4(engine.address), SOON).unwrap(), ms(e as u64));
+        }
+        assert_eq!(pool.open(), (2, 1), "only the giver's own may stay beside two seats");
+        pool.leave_seat();
+        pool.leave_seat();
+        assert!(pool.take_seat(Duration::ZERO));
+        assert!(pool.idle(3, v4(engine.address), ms(5)).is_some(), "the youngest was kept");
+    });
+}
+
+#[test]
+fn calls_on_a_connection_fail_by_what_is_known() {
+    in_coroutine(|| {
+        let clock = Clock::start();
+        let until = |ms| clock.now() + Span::from_millis(ms);
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = v4(listener.local_addr().unwrap());
+        let mut late = Link::open(address, SOON).unwrap();
+        assert_eq!(late.call(b"x", &clock, until(0)), Err(Fault::Unsent), "no time to send");
+        assert_eq!(late.call(b"x", &clock, until(30)), Err(Fault::Late), "no reply");
+        let mut cut = Link::open(address, SOON).unwrap();
+        let _waiting = listener.accept().unwrap();
+        let (mut stream, _) = listener.accept().unwrap();
+        let cutter = std::thread::spawn(move || stream.read(&mut [0; 8]));
+        assert_eq!(cut.call(b"x", &clock, until(20_000)), Err(Fault::Broken), "cut after the call");
+        cutter.join().unwrap().unwrap();
+        let nobody = common::nobody();
+        assert_eq!(Link::open(v4(nobody.address), SOON).err(), Some(NoLink::Refused));
+        assert_eq!(Link::open(address, Duration::ZERO).err(), Some(NoLink::Silent));
+        let engine = Engine::start("127.0.0.1:0", |_| Act::Decline).unwrap();
+        let mut link = Link::open(v4(engine.address), SOON).unwrap();
+        for _ in 0..2 {
+            let reply = link.call(&http::stats("h"), &clock, until(20_000)).unwrap();
+            assert_eq!(reply.status, 200);
+        }
+    });
+}
+
+#[test]
+fn a_request_has_one_answer_and_an_id_one_request() {
+    in_coroutine(|| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = may::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let peers = Peers::new(40);
+        let (place, peer) = peers.join(stream.waker(), ms(0));
+        assert_eq!(
+            (peer.opening(3), peer.opening(3), peer.opening(2)),
+            (Opening::Open, Opening::UsedTwice, Opening::UsedTwice)
+        );
+        peer.open(3, 30);
+        assert!(peer.answer(3, &rpc::Answer::Returned(b"rows")));
+        assert!(!peer.answer(3, &rpc::Answer::Errored("again")), "one answer and no more");
+        assert_eq!(peer.opening(4), Opening::Open);
+        peer.open(4, 40);
+        assert_eq!((peer.abort(4), peer.abort(4)), (Some(40), None));
+        assert!(!peer.answer(4, &rpc::Answer::Pong), "nobody waits for it");
+        let mut wrote = Vec::new();
+        let take = |some: usize, wrote: &mut Vec<u8>| {
+            peer.write(|bytes| {
+                wrote.extend_from_slice(&bytes[..some.min(bytes.len())]);
+                Ok::<_, ()>(some.min(bytes.len()))
+            })
+        };
+        assert_eq!(take(2, &mut wrote), Ok(2));
+        assert!(!peer.is_idle() && !peers.are_idle());
+        take(100, &mut wrote).unwrap();
+        let mut whole = Vec::new();
+        rpc::encode(&mut whole, 3, &rpc::Answer::Returned(b"rows"));
+        assert_eq!(wrote, whole);
+        assert!(peer.is_idle() && peers.are_idle());
+        // What nobody reads is bounded: past that, answers shrink to an error.
+        peer.say(5, &rpc::Answer::Returned(&[0; 200]));
+        let mut wrote = Vec::new();
+        peer.say(6, &rpc::Answer::Returned(&[0; 200]));
+        take(1000, &mut wrote).unwrap();
+        assert!(wrote.len() < 300, "{} bytes", wrote.len());
+        for id in 0..MOST_OPEN as u32 {
+            assert_eq!(peer.opening(100 + id), Opening::Open);
+            peer.open(100 + id, id as usize);
+        }
+        assert_eq!(peer.opening(200), Opening::TooMany);
+        assert_eq!(peer.abort_all().len(), MOST_OPEN);
+        peers.part(place);
+        assert!(peers.is_empty());
+    });
+}
+
+#[test]
+fn counters_tell_groups_and_outcomes_apart() {
+    let counters = Counters::new(2);
+    counters.group(0, |c| c.taken += 2);
+    counters.outcome(1, Outcome::Reset);
+    counters.outcome(1, Outcome::Moot);
+    counters.group(9, |c| c.taken += 1);
+    let lines = counters.lines(&["a".into(), "b".into()]);
+    assert!(lines[0].starts_with("group=a taken=2 returned=0"), "{}", lines[0]);
+    assert!(lines[1].contains("dispatches=2") && lines[1].contains("reset=1") && lines[1].contains("moot=1"));
+    assert_eq!(lines.len(), 3);
+}
+
+#[test]
+fn a_configuration_is_refused_by_the_name_of_what_is_wrong() {
+    let sound =
+        common::config("127.0.0.1:0", "127.0.0.1:9".parse().unwrap(), Some("10.0.0.1:7".parse().unwrap()));
+    assert!(config::parse(sound.as_bytes()).is_ok());
+    let cases = [
+        ("", "EOF"),
+        ("{", "EOF"),
+        ("\"listen\":\"127.0.0.1:0\"|\"listen\":\"here\"", "listen: 'here' is no address"),
+        ("\"listen\":\"127.0.0.1:0\",|", "missing field `listen`"),
+        ("\"board\":\"127.0.0.1:9\"|\"board\":\"\"", "board: '' is no address"),
+        ("8c1f30d27a5be964|xyz", "seed: 'xyz' is not hex"),
+        ("\"sockets\":256|\"sockets\":3", "limits: too little memory or too few sockets"),
+        ("s-00000001|00000001", "known.notices, rev 1: instanceId '00000001'"),
+        ("10.0.0.1:7|10.0.0.1", "known.notices, rev 1: hostPort"),
+        ("\"lifecycle\":\"up\"|\"lifecycle\":\"ill\"", "known.notices, rev 1: unknown lifecycle 'ill'"),
+        ("\"zone\":\"east\"|\"zone\":\"moon\"", "known.notices, rev 1: zone 'moon' is not in the settings"),
+        ("read_like|write_like", "settings: classes[0].effect: unknown word 'write_like'"),
+        ("\"classes\":|\"others\":", "settings.classes: no service group"),
+    ];
+    for (change, says) in cases {
+        let text = match change.split_once('|') {
+            Some((from, to)) => sound.replace(from, to),
+            None => change.to_owned(),
+        };
+        let why = config::parse(text.as_bytes()).err().unwrap_or_default();
+        assert!(why.contains(says), "{change}: {why}");
+    }
+}
+
+#[test]
+fn the_command_line_refuses_what_it_does_not_know() {
+    let ok = |task, file: Option<&str>| Ok((task, file.map(str::to_owned)));
+    type Asked = Result<(Task, Option<String>), &'static str>;
+    let cases: [(&[&str], Asked); 11] = [
+        (&[], ok(Task::Serve, None)),
+        (&["serve"], ok(Task::Serve, None)),
+        (&["serve", "--config", "a"], ok(Task::Serve, Some("a"))),
+        (&["--config=a", "check"], ok(Task::Check, Some("a"))),
+        (&["version"], ok(Task::Version, None)),
+        (&["version", "--config", "a"], Err("invalid option '--config'")),
+        (&["serve", "check"], Err("unexpected argument \"check\"")),
+        (&["dance"], Err("unknown command 'dance'")),
+        (&["--dance"], Err("invalid option '--dance'")),
+        (&["--config"], Err("missing argument for option '--config'")),
+        (&["-x"], Err("invalid option '-x'")),
+    ];
+    for (args, expected) in cases {
+        let got = parse(args.iter().map(|a| (*a).to_owned()));
+        assert_eq!(got, expected.map_err(str::to_owned), "{args:?}");
+    }
+    for args in
+        [&["help"][..], &["-h"], &["serve", "--help"], &["check", "-h"], &["version", "-h"], &["--help"]]
+    {
+        let got = parse(args.iter().map(|a| (*a).to_owned()));
+        assert!(matches!(got, Ok((Task::Help(text), None)) if text.contains("usage")), "{args:?}");
+    }
+}
--- /dev/null
+++ b/front/tests/front/sockets.rs
@@ -0,0 +1,266 @@
+//! The program on loopback sockets, between toy engines, a toy board and toy clients.
+
+use crate::common::{Front, nobody, until_seen, wait_for};
+use larchfall_toy::board::{Board, frame};
+use larchfall_toy::client::{Answer, Client, request};
+use larchfall_toy::engine::{Act, Engine};
+use std::time::Duration;
+
+const NOW: Duration = Duration::ZERO;
+const FOREVER: Duration = Duration::from_secs(600);
+const ID: &str = "9b1f03aa5c7e2d41";
+
+fn fields<'a>(id: &'a str, wait: &'a str) -> Vec<(&'a str, &'a str)> {
+    vec![("req", id), ("timeout", wait), ("owner", "acme"), ("ms", "10"), ("est_mb", "5")]
+}
+
+fn engine(act: Act) -> Engine {
+    Engine::start("127.0.0.1:0", move |_| act.clone()).unwrap()
+}
+
+fn rows(text: &str) -> Answer {
+    Answer::Rows(text.as_bytes().to_vec())
+}
+
+fn pages(texts: &[&str]) -> Vec<Vec<u8>> {
+    texts.iter().map(|t| t.as_bytes().to_vec()).collect()
+}
+
+#[test]
+fn each_end_of_a_dispatch_has_its_answer() {
+    let errored = Answer::Error("Errored".into(), None);
+    let pushed_back = Answer::Error("Rejected".into(), Some("500".into()));
+    // What the engine does, the group, the answer, and how often the statement came to the engine.
+    let cases = [
+        (Act::Serve(NOW, pages(&["a\tb\n"])), "look", rows("a\tb\n"), 1),
+        (Act::Serve(NOW, pages(&["1\n", "2\n", "3\n"])), "look", rows("1\n2\n3\n"), 1),
+        (Act::Serve(NOW, pages(&[""])), "once", rows(""), 1),
+        (Act::Serve(Duration::from_millis(700), pages(&["late\n"])), "load", rows("late\n"), 1),
+        (Act::Hang(b"again\n".to_vec()), "once", rows("again\n"), 1),
+        (Act::Decline, "once", pushed_back.clone(), 0),
+        (Act::Decline, "look", pushed_back.clone(), 0),
+        (Act::Fail, "once", errored.clone(), 1),
+        (Act::Fail, "look", pushed_back.clone(), 0),
+        (Act::Cut, "once", errored.clone(), 1),
+        (Act::LosePage, "once", errored.clone(), 1),
+        (Act::Say(b"SSH-2.0-toy\r\n".to_vec()), "once", errored.clone(), 1),
+        (Act::Say(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec()), "once", errored, 1),
+    ];
+    for (act, group, expected, times) in cases {
+        let engine = engine(act.clone());
+        let front = Front::start(Some(engine.address));
+        let mut client = front.client();
+        let sent = client.send(group, &fields(ID, "20000"), "select 1").unwrap();
+        assert_eq!(client.answer().unwrap(), (sent, expected), "{act:?} for {group}");
+        let started = engine.seen().started;
+        assert!(times == 0 || started.len() == times, "{act:?} for {group}: started {}", started.len());
+        let call = &started[0];
+        assert_eq!((call.id.as_str(), &call.statement[..]), (ID, &b"select 1"[..]));
+        assert_eq!(call.head["x-profile"], group);
+    }
+}
+
+#[test]
+fn what_cannot_have_run_is_pushed_back() {
+    let nobody = nobody();
+    let front = Front::start(Some(nobody.address));
+    let mut client = front.client();
+    for group in ["once", "load", "look"] {
+        let sent = client.send(group, &fields(ID, "5000"), "").unwrap();
+        let pushed_back = Answer::Error("Rejected".into(), Some("500".into()));
+        assert_eq!(client.answer().unwrap(), (sent, pushed_back), "{group}");
+    }
+}
+
+#[test]
+fn a_batch_that_runs_out_of_time_is_answered_and_given_up() {
+    let engine = engine(Act::Serve(FOREVER, pages(&[""])));
+    let front = Front::start(Some(engine.address));
+    let mut client = front.client();
+    for (group, id, name) in
+        [("look", "aa", "Rejected"), ("once", "bb", "Errored"), ("load", "cc", "Rejected")]
+    {
+        client.send(group, &fields(id, "700"), "").unwrap();
+        assert!(matches!(client.answer().unwrap().1, Answer::Error(n, _) if n == name), "{group}");
+        until_seen(&engine, "the query to be given up", |s| s.given_up.contains(&id.to_owned()));
+    }
+}
+
+#[test]
+fn an_aborted_batch_is_given_up_and_not_answered() {
+    let engine = engine(Act::Serve(FOREVER, pages(&[""])));
+    let front = Front::start(Some(engine.address));
+    let mut client = front.client();
+    let sent = client.send("load", &fields(ID, "20000"), "").unwrap();
+    until_seen(&engine, "the query to start", |s| s.started.len() == 1);
+    client.abort(sent).unwrap();
+    client.abort(77).unwrap();
+    until_seen(&engine, "the query to be given up", |s| s.given_up == [ID]);
+    let ping = client.ping().unwrap();
+    assert_eq!(client.answer().unwrap(), (ping, Answer::Pong));
+}
+
+#[test]
+fn a_client_that_goes_takes_its_batches_with_it() {
+    let engine = engine(Act::Serve(FOREVER, pages(&[""])));
+    let front = Front::start(Some(engine.address));
+    let mut client = front.client();
+    client.send("look", &fields(ID, "20000"), "").unwrap();
+    until_seen(&engine, "the query to start", |s| s.started.len() == 1);
+    drop(client);
+    until_seen(&engine, "the query to be given up", |s| s.given_up == [ID]);
+    front.log.wait_for("reason: client-closed");
+}
+
+#[test]
+fn batches_of_one_key_run_one_after_the_other_in_order() {
+    let engine = engine(Act::Serve(Duration::from_millis(30), pages(&["ok\n"])));
+    let front = Front::start(Some(engine.address));
+    let mut client = front.client();
+    let ids: Vec<String> = (0..6).map(|n| format!("{n:016x}")).collect();
+    for id in &ids {
+        let mut fields = fields(id, "20000");
+        fields.extend([("subject", "00000000000000ab"), ("opkey", id)]);
+        client.send("load", &fields, "").unwrap();
+    }
+    for wanted in 1..=6 {
+        assert_eq!(client.answer().unwrap(), (wanted, rows("ok\n")));
+    }
+    let order: Vec<String> = engine.seen().started.into_iter().map(|c| c.id).collect();
+    assert_eq!(order, ids);
+}
+
+#[test]
+fn what_is_no_message_ends_its_connection_and_no_other() {
+    let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
+    let front = Front::start(Some(engine.address));
+    let mut good = front.client();
+    let twice = {
+        let mut bytes = Vec::new();
+        for _ in 0..2 {
+            rmpv::encode::write_value(&mut bytes, &request(1, "look", &fields(ID, "5000"), "")).unwrap();
+        }
+        bytes
+    };
+    let cases: [(&[u8], &str); 5] = [
+        (b"GET / HTTP/1.1\r\n\r\n", "reason: malformed, detail: message is no array"),
+        (&[0x91; 64], "reason: malformed, detail: not MessagePack"),
+        (&[0x93, 0x02, 0xa1, b'x', 0x90], "reason: malformed, detail: unknown notification"),
+        (&[0xc1; 8], "reason: malformed"),
+        (&twice, "reason: id-used-twice"),
+    ];
+    for (bytes, reason) in cases {
+        let mut bad = front.client();
+        bad.raw(bytes).unwrap();
+        assert!(bad.is_ended(), "{reason}");
+        let parts: Vec<&str> = reason.split(", ").collect();
+        wait_for(reason, || {
+            parts.iter().all(|p| front.log.wait_for(p).contains("connection ended")).then_some(())
+        });
+        good.send("look", &fields(ID, "20000"), "").unwrap();
+        assert_eq!(good.answer().unwrap().1, rows("ok\n"), "after {reason}");
+    }
+}
+
+#[test]
+fn what_cannot_be_used_is_answered_with_an_error() {
+    let front = Front::start(None);
+    let mut client = front.client();
+    for (group, id, wait) in [("nothing", ID, "100"), ("look", "a b", "100"), ("look", ID, "soon")] {
+        let sent = client.send(group, &fields(id, wait), "").unwrap();
+        assert_eq!(
+            client.answer().unwrap(),
+            (sent, Answer::Error("Errored".into(), None)),
+            "{group} {id} {wait}"
+        );
+    }
+}
+
+#[test]
+fn more_than_a_connection_may_carry_is_pushed_back() {
+    let engine = engine(Act::Serve(FOREVER, pages(&[""])));
+    let front = Front::start(Some(engine.address));
+    let mut client = front.client();
+    for n in 0..33 {
+        client.send("look", &fields(&format!("{n:016x}"), "20000"), "").unwrap();
+    }
+    assert_eq!(client.answer().unwrap(), (33, Answer::Error("Rejected".into(), None)));
+}
+
+#[test]
+fn the_board_is_followed_through_bad_frames_and_ends() {
+    let (old, new) = (engine(Act::Serve(NOW, pages(&["old\n"]))), engine(Act::Serve(NOW, pages(&["new\n"]))));
+    let front = Front::start(Some(old.address));
+    let mut client = front.client();
+    let mut ask = |wanted: &str| {
+        wait_for(wanted, || {
+            client.send("look", &fields(ID, "20000"), "").unwrap();
+            (client.answer().unwrap().1 == rows(wanted)).then_some(())
+        });
+    };
+    ask("old\n");
+    // A frame of an unknown kind ends the connection; the list is kept, and its number is asked for again.
+    let mut bad = frame(2, true, &[]);
+    bad[12] = 9;
+    front.board.say(2, bad);
+    front.log.wait_for("reason: malformed");
+    ask("old\n");
+    // The whole list drops the engine that it does not name, though the new one has another address only.
+    front.list(2, &[(2, new.address, 0)]);
+    ask("new\n");
+    front.list(3, &[(2, old.address, 0)]);
+    ask("old\n");
+}
+
+#[test]
+fn told_to_stop_a_front_serves_on_answers_all_and_ends() {
+    let slow = Engine::start("127.0.0.1:0", |call| {
+        let takes = if call.statement == b"long" { FOREVER } else { Duration::from_millis(600) };
+        Act::Serve(takes, vec![b"ok\n".to_vec()])
+    })
+    .unwrap();
+    let mut front = Front::start(Some(slow.address));
+    let mut client = front.client();
+    let held = client.send("once", &fields("aa", "25000"), "").unwrap();
+    let mut waiting = front.client();
+    let long = waiting.send("once", &fields("bb", "25000"), "long").unwrap();
+    until_seen(&slow, "both to start", |s| s.started.len() == 2);
+    front.signal("-TERM");
+    front.log.wait_for("told to stop");
+    let mut late = front.client();
+    let after = late.send("once", &fields("cc", "25000"), "").unwrap();
+    assert_eq!(late.answer().unwrap(), (after, rows("ok\n")), "came after the signal");
+    assert_eq!(client.answer().unwrap(), (held, rows("ok\n")), "was in hand");
+    assert_eq!(waiting.answer().unwrap(), (long, Answer::Error("Errored".into(), None)), "outlasts the end");
+    assert!(front.ended().success());
+    let line = front.log.wait_for("group=once");
+    assert!(line.contains("taken=3 returned=2 pushed_back=0 errored=1"), "{line}");
+}
+
+#[test]
+fn a_killed_front_starts_again_on_its_address() {
+    let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
+    let mut first = Front::start(Some(engine.address));
+    let mut client = first.client();
+    client.send("look", &fields(ID, "20000"), "").unwrap();
+    assert_eq!(client.answer().unwrap().1, rows("ok\n"));
+    first.signal("-KILL");
+    assert!(!first.ended().success());
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let second = Front::start_on(&first.address.to_string(), board, Some(engine.address));
+    let mut client = Client::connect(second.address).unwrap();
+    client.send("look", &fields(ID, "20000"), "").unwrap();
+    assert_eq!(client.answer().unwrap().1, rows("ok\n"));
+}
+
+#[test]
+fn counters_are_printed_when_asked_for() {
+    let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
+    let front = Front::start(Some(engine.address));
+    let mut client = front.client();
+    client.send("look", &fields(ID, "20000"), "").unwrap();
+    client.answer().unwrap();
+    front.signal("-USR1");
+    let line = front.log.wait_for("group=look");
+    assert!(line.contains("taken=1 returned=1 pushed_back=0 errored=0 left=0 dispatches=1"), "{line}");
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -594,10 +594,9 @@
             engine.told = told;
             return;
         }
-        let cores = self.fleet.cores(&told);
         let all: f64 = self.asked.iter().sum();
         let shares: Vec<f64> = self.asked.iter().map(|a| a / all.max(1e-9)).collect();
-        let budgets = Budgets::new(cores, self.fleet.fronts, &shares);
+        let budgets = Budgets::new(self.fleet.cores(&told), self.fleet.fronts, &shares);
         self.engines[e] = Some(EngineNow { told, budgets, heard: now, ..EngineNow::default() });
     }
 
@@ -660,8 +659,7 @@
         let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) else { return Next::Over };
         let Some(i) = held.out.iter().position(|o| o.number == number) else { return Next::Over };
         let out = held.out.remove(i);
-        let g = held.batch.group;
-        let group = &self.groups[g];
+        let (g, group) = (held.batch.group, &self.groups[held.batch.group]);
         let goal = late_after(group, answer.work.map(|w| w.secs()).or(held.work));
         held.over |= answer.over;
         if !proves_not_run(answer.outcome) && held.may_have_run.is_none_or(|(_, at)| out.sent < at) {
@@ -751,6 +749,11 @@
         off
     }
 
+    /// The front ends then: what it holds is to have its final answer before.
+    pub fn end_by(&mut self, at: At) {
+        self.batches.iter_mut().flatten().for_each(|h| h.batch.time_limit = h.batch.time_limit.min(at));
+    }
+
     pub fn note(&mut self, now: At, b: usize, number: u8, note: Note) {
         let Some(held) = self.batches.get_mut(b).and_then(|h| h.as_mut()) else { return };
         let Some(out) = held.out.iter_mut().find(|o| o.number == number) else { return };
@@ -955,8 +958,7 @@
     /// than the rest of it.
     fn look_at_out(&mut self, now: At, b: usize) -> Place {
         let Some(held) = self.batches[b].as_mut() else { return Place::NotYet };
-        let g = held.batch.group;
-        let group = &self.groups[g];
+        let (g, group) = (held.batch.group, &self.groups[held.batch.group]);
         if group.effect != Effect::Repeatable || !self.caps.call_off {
             return Place::NotYet;
         }
