--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -16,6 +16,9 @@
 
 /// Clients close what is idle after 4 s. What is quiet for longer has no client behind it.
 pub const QUIET: Span = Span::from_millis(10_000);
+/// The way of a batch to here and of its answer back, in a busy moment: what is owed leaves this much before
+/// its client gives up.
+const WAY: Span = Span::from_millis(25);
 const CHUNK: usize = 16 * 1024;
 
 /// Why a connection ended: its code in the log.
@@ -179,7 +182,8 @@
         return peer.say(message, &rpc::Answer::Errored("unknown service group"));
     };
     state.counters.group(group, |c| c.taken += 1);
-    let limit = sent + request.wait.min(state.group_limits[group]);
+    let wait = request.wait.min(state.group_limits[group]);
+    let limit = sent + Span::from_micros(wait.micros().saturating_sub(WAY.micros()));
     let limit = state.ends().map_or(limit, |ends| limit.min(ends));
     let batch = Batch {
         group,
--- a/front/src/state/counters.rs
+++ b/front/src/state/counters.rs
@@ -33,6 +33,8 @@
     pub most_in_hand: usize,
     pub most_clients: usize,
     pub most_links: usize,
+    /// How late the timer came by at worst: the time others kept the core.
+    pub most_lag_ms: u64,
 }
 
 const OUTCOMES: [(Outcome, &str); 8] = [
@@ -92,8 +94,9 @@
             .collect();
         let r = lock(&self.rest);
         lines.push(format!(
-            "connections={} unusable={} pings={} probes={} board_events={} most_in_hand={} most_clients={} most_links={}",
-            r.connections, r.unusable, r.pings, r.probes, r.board_events, r.most_in_hand, r.most_clients, r.most_links
+            "connections={} unusable={} pings={} probes={} board_events={} most_in_hand={} most_clients={} most_links={} most_lag_ms={}",
+            r.connections, r.unusable, r.pings, r.probes, r.board_events, r.most_in_hand, r.most_clients, r.most_links,
+            r.most_lag_ms
         ));
         lines
     }
--- a/front/src/timer.rs
+++ b/front/src/timer.rs
@@ -28,6 +28,8 @@
         let left = state.clock.left(until);
         if !left.is_zero() {
             let _ = blocker.park(Some(left));
+            let lag = state.clock.now().since(until).micros() / 1000;
+            state.counters.rest(|c| c.most_lag_ms = c.most_lag_ms.max(lag));
         }
     }
 }
