--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -19,6 +19,9 @@
 /// The way of a batch to here and of its answer back, in a busy moment: what is owed leaves this much before
 /// its client gives up.
 const WAY: Span = Span::from_millis(60);
+/// Clients write requests of one key apart from each other, up to this much after one that came on a new
+/// connection, and the time of one that they hold back runs meanwhile.
+const KEYS_APART: Span = Span::from_millis(250);
 const CHUNK: usize = 16 * 1024;
 
 /// Why a connection ended: its code in the log.
@@ -81,7 +84,8 @@
             Ok(n) => n,
             Err(reason) => return reason,
         };
-        let read = match read(stream, &mut input) {
+        let read = if peer.reads_too_slowly() { Ok(0) } else { read(stream, &mut input) };
+        let read = match read {
             Ok(n) => n,
             Err(reason) => return reason,
         };
@@ -110,7 +114,7 @@
                 return Reason::Quiet;
             }
         }
-        if state.ends().is_some_and(|ends| now >= ends) && peer.is_idle() {
+        if state.is_done() && peer.is_idle() {
             return Reason::Stopped;
         }
         slept_since = now;
@@ -161,7 +165,10 @@
             }
             Message::Batch(id, request) => match peer.opening(id) {
                 Opening::UsedTwice => return Err(Reason::IdUsedTwice),
-                Opening::TooMany => peer.say(id, &rpc::Answer::PushedBack(None)),
+                Opening::TooMany => {
+                    state.counters.rest(|c| c.over_limits += 1);
+                    peer.say(id, &rpc::Answer::PushedBack(None));
+                }
                 Opening::Open => take(state, peer, id, &request, sent),
             },
         }
@@ -182,8 +189,8 @@
         return peer.say(message, &rpc::Answer::Errored("unknown service group"));
     };
     state.counters.group(group, |c| c.taken += 1);
-    let wait = request.wait.min(state.group_limits[group]);
-    let limit = sent + Span::from_micros(wait.micros().saturating_sub(WAY.micros()));
+    let held_back = if request.key.is_some() { KEYS_APART } else { Span::ZERO };
+    let limit = (sent + request.wait.min(state.group_limits[group]) - WAY - held_back).max(sent);
     let limit = state.ends().map_or(limit, |ends| limit.min(ends));
     let batch = Batch {
         group,
@@ -196,6 +203,7 @@
     };
     let Some(b) = state.facade.take(batch) else {
         state.counters.group(group, |c| c.pushed_back += 1);
+        state.counters.rest(|c| c.over_limits += 1);
         return peer.say(message, &rpc::Answer::PushedBack(None));
     };
     peer.open(message, b);
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -14,6 +14,7 @@
 use larchfall::time::Span;
 use may::net::TcpListener;
 use slog::{info, warn};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 
 /// Bytes of each coroutine's stack. Only pages that were touched count as memory; see docs/front.md.
@@ -79,6 +80,7 @@
         limits,
         log,
         ends: Mutex::new(None),
+        done: AtomicBool::new(false),
     }
 }
 
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -11,6 +11,7 @@
 use std::io::{self, Read};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// New connections come for 0.4 s after SIGTERM, requests on open ones for 0.2 s more.
 const CLIENTS_COME: Span = Span::from_millis(800);
@@ -19,6 +20,7 @@
 const KILL_AFTER: Span = Span::from_millis(700);
 /// What is left then has this long to get its answer.
 const LAST_ANSWERS: Span = Span::from_millis(400);
+const LAST_LINES: Span = Span::from_millis(100);
 const LOOK: Span = Span::from_millis(20);
 
 /// Signals as bytes on a stream, so that a coroutine can wait for them.
@@ -69,4 +71,11 @@
         }
     }
     info!(state.log, "ended"; "in_hand" => state.facade.in_hand(), "clients" => state.peers.len());
+    // Each connection that is still open leaves its own line.
+    state.done.store(true, Ordering::Relaxed);
+    state.peers.wake_quiet(state.clock.now());
+    let until = state.clock.now() + LAST_LINES;
+    while !state.peers.is_empty() && state.clock.now() < until {
+        may::coroutine::sleep(wait(LOOK));
+    }
 }
--- a/front/src/state/counters.rs
+++ b/front/src/state/counters.rs
@@ -27,6 +27,8 @@
 pub struct Rest {
     pub connections: u64,
     pub unusable: u64,
+    /// Pushed back by the front itself: too many open on a connection, or in hand.
+    pub over_limits: u64,
     pub pings: u64,
     pub probes: u64,
     pub board_events: u64,
@@ -94,8 +96,9 @@
             .collect();
         let r = lock(&self.rest);
         lines.push(format!(
-            "connections={} unusable={} pings={} probes={} board_events={} most_in_hand={} most_clients={} most_links={} most_lag_ms={}",
-            r.connections, r.unusable, r.pings, r.probes, r.board_events, r.most_in_hand, r.most_clients, r.most_links,
+            "connections={} unusable={} over_limits={} pings={} probes={} board_events={} most_in_hand={} most_clients={} most_links={} most_lag_ms={}",
+            r.connections, r.unusable,
+            r.over_limits, r.pings, r.probes, r.board_events, r.most_in_hand, r.most_clients, r.most_links,
             r.most_lag_ms
         ));
         lines
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -20,6 +20,7 @@
 use peer::Peers;
 use pool::Pool;
 use slog::Logger;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// All parts of a front, shared by its coroutines.
@@ -41,6 +42,8 @@
     pub log: Logger,
     /// When this front ends, once it was told to.
     pub ends: Mutex<Option<At>>,
+    /// All is answered: connections may end.
+    pub done: AtomicBool,
 }
 
 impl State {
@@ -48,6 +51,10 @@
         *lock(&self.ends)
     }
 
+    pub fn is_done(&self) -> bool {
+        self.done.load(Ordering::Relaxed)
+    }
+
     /// From now on nothing is promised beyond this time.
     pub fn end_at(&self, at: At) {
         *lock(&self.ends) = Some(at);
--- a/front/src/state/peer.rs
+++ b/front/src/state/peer.rs
@@ -12,6 +12,8 @@
 
 /// Requests open on one connection.
 pub const MOST_OPEN: usize = 32;
+/// As much as the answers of all that may be open; a client with more of it unread is read no further.
+const MOST_UNREAD: usize = 2 << 20;
 
 #[derive(Default)]
 struct Desk {
@@ -106,6 +108,10 @@
         !lock(&self.desk).unread.is_empty()
     }
 
+    pub fn reads_too_slowly(&self) -> bool {
+        lock(&self.desk).unread.len() > MOST_UNREAD
+    }
+
     /// Something came or went.
     pub fn stirred(&self, now: At) {
         lock(&self.desk).quiet_since = now;
--- a/front/tests/front/memory.rs
+++ b/front/tests/front/memory.rs
@@ -52,13 +52,12 @@
     let cases = [
         ("asleep all through it", 50, 2100, 100),
         ("a short one", 50, 140, 100),
-        ("a late timer", 50, 130, 130),
+        ("a late timer", 50, 135, 135),
         ("since within it", 120, 2100, 120),
         ("a new connection", 0, 2100, 100),
     ];
     for (what, slept_since, now, expected) in cases {
-        let heart = Heart::start(ms(0));
-        heart.beat(ms(100));
+        let heart = Heart::start(ms(100));
         assert_eq!(heart.may_be_from(ms(slept_since), ms(now)), ms(expected), "{what}");
     }
     let heart = Heart::start(ms(0));
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -130,6 +130,23 @@
     assert_eq!(order, ids);
 }
 
+#[test]
+fn the_way_and_what_clients_hold_back_are_left_off_the_time_limit() {
+    let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
+    let front = Front::start(Some(engine.address));
+    let mut client = front.client();
+    // Clients hold batches of one key apart by up to 250 ms, and count that time.
+    for (group, key, most) in [("load", Some("00000000000000ab"), 20_000 - 310), ("look", None, 20_000 - 60)]
+    {
+        let mut fields = fields(ID, "20000");
+        fields.extend(key.map(|key| ("subject", key)));
+        client.send(group, &fields, "").unwrap();
+        assert_eq!(client.answer().unwrap().1, rows("ok\n"));
+        let patience: u64 = engine.seen().started.last().unwrap().head["x-patience"].parse().unwrap();
+        assert!(patience <= most, "{group}: {patience} ms");
+    }
+}
+
 #[test]
 fn what_is_no_message_ends_its_connection_and_no_other() {
     let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
@@ -233,6 +250,7 @@
     assert_eq!(client.answer().unwrap(), (held, rows("ok\n")), "was in hand");
     assert_eq!(waiting.answer().unwrap(), (long, Answer::Error("Errored".into(), None)), "outlasts the end");
     assert!(front.ended().success());
+    front.log.wait_for("reason: stopped");
     let line = front.log.wait_for("group=once");
     assert!(line.contains("taken=3 returned=2 pushed_back=0 errored=1"), "{line}");
 }
