--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -1,6 +1,6 @@
 //! A client connection: one coroutine reads its messages and is the one writer of its answers.
 
-use crate::dispatch::{self, Task};
+use crate::batch::{self, Task};
 use crate::state::State;
 use crate::state::peer::{Opening, Peer};
 use crate::wire::rpc::{self, Message, Request};
@@ -219,11 +219,11 @@
     let first = state.facade.pick(b);
     match first {
         // What ends at once needs no coroutine.
-        Place::PushBack(_) | Place::Error => dispatch::run(state, peer, &task, b, first),
+        Place::PushBack(_) | Place::Error => batch::run(state, peer, &task, b, first),
         _ => {
             state.counters.rest(|c| c.most_in_hand = c.most_in_hand.max(state.facade.in_hand()));
             let (state, peer) = (state.clone(), peer.clone());
-            may::go!(move || dispatch::run(&state, &peer, &task, b, first));
+            may::go!(move || batch::run(&state, &peer, &task, b, first));
         }
     }
 }
--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -1,13 +1,11 @@
-//! A batch on its way: one coroutine each. It asks the facade where to go, speaks to that engine until the
-//! dispatch has an outcome, and reports it, until the batch is over.
+//! One dispatch: from its seat and its one call to an engine to its outcome.
 
+use crate::batch::Task;
 use crate::link::{Fault, Link, NoLink};
 use crate::state::State;
 use crate::state::clock::wait;
-use crate::state::peer::Peer;
 use crate::wire::http::{self, Reply, Start};
-use crate::wire::rpc;
-use larchfall::interface::{Answer, Dispatch, Next, Outcome, Place, Report};
+use larchfall::interface::{Dispatch, Outcome, Place, Report};
 use larchfall::time::{At, Span};
 use slog::warn;
 use std::net::SocketAddrV4;
@@ -28,91 +26,8 @@
 const PAGE_TRIES: usize = 3;
 const MOST_PAGES: u32 = 64;
 
-/// What a batch needs to be sent.
-pub struct Task {
-    pub message: u32,
-    pub id: String,
-    pub group: usize,
-    pub in_order: bool,
-    /// When its client gives up.
-    pub limit: At,
-    pub reference: Option<String>,
-    pub statement: Vec<u8>,
-}
-
-/// Answers and lets go of the batch whatever happens to its coroutine.
-struct Holder<'a> {
-    state: &'a State,
-    peer: &'a Peer,
-    task: &'a Task,
-    b: usize,
-}
-
-impl Drop for Holder<'_> {
-    fn drop(&mut self) {
-        if std::thread::panicking() {
-            // Guards against a batch without an answer. What is out stays known to the module, so the index
-            // is not used again.
-            answer(self.state, self.peer, self.task, &rpc::Answer::Errored("internal error"));
-            return;
-        }
-        self.state.facade.release(self.b);
-    }
-}
-
-/// Runs a batch to its end, from the first place that was picked for it.
-pub fn run(state: &Arc<State>, peer: &Arc<Peer>, task: &Task, b: usize, first: Place) {
-    let _holder = Holder { state, peer, task, b };
-    let mut place = first;
-    let mut number = 0;
-    loop {
-        match place {
-            Place::Send(to) => {
-                let trip = Trip::new(state, task, b, number, to);
-                let (outcome, rows, report) = trip.make();
-                state.counters.outcome(task.group, outcome);
-                let returned = outcome == Outcome::Returned;
-                if returned {
-                    answer(state, peer, task, &rpc::Answer::Returned(&rows));
-                }
-                let over = returned || state.facade.left(b).is_some();
-                let took = state.clock.now().since(trip.sent);
-                let told = Answer { outcome, took, over, work: None, report };
-                if state.facade.report(b, number, &told) == Next::Over {
-                    return;
-                }
-                number += 1;
-            }
-            Place::NotYet | Place::CallOff(_) => {
-                state.facade.rest(b);
-                if state.facade.left(b).is_some() {
-                    return;
-                }
-            }
-            Place::PushBack(wait) => return answer(state, peer, task, &rpc::Answer::PushedBack(wait)),
-            Place::Error => return answer(state, peer, task, &rpc::Answer::Errored("given up")),
-        }
-        place = state.facade.pick(b);
-    }
-}
-
-/// The one final answer, counted where somebody still waits for it.
-pub fn answer(state: &State, peer: &Peer, task: &Task, answer: &rpc::Answer) {
-    if peer.answer(task.message, answer) {
-        let now = state.clock.now();
-        if now > task.limit {
-            warn!(state.log, "answered late"; "id" => &task.id, "late_ms" => now.since(task.limit).micros() / 1000,
-                "group" => &state.names.groups[task.group], "with" => answer.word());
-        }
-        state.counters.group(task.group, |c| match answer {
-            rpc::Answer::Returned(_) => c.returned += 1,
-            rpc::Answer::PushedBack(_) => c.pushed_back += 1,
-            _ => c.errored += 1,
-        });
-    }
-}
-
-type Ended = (Outcome, Vec<u8>, Report);
+/// The outcome, the rows of a good one, and the engine's load report.
+pub type Ended = (Outcome, Vec<u8>, Report);
 
 fn ended(outcome: Outcome) -> Ended {
     (outcome, Vec::new(), Report::default())
@@ -125,19 +40,19 @@
     TimedOut,
 }
 
-/// One dispatch.
-struct Trip<'a> {
+/// One dispatch on its way.
+pub struct Trip<'a> {
     state: &'a Arc<State>,
     task: &'a Task,
     b: usize,
     number: u8,
     to: Dispatch,
     address: SocketAddrV4,
-    sent: At,
+    pub sent: At,
 }
 
 impl<'a> Trip<'a> {
-    fn new(state: &'a Arc<State>, task: &'a Task, b: usize, number: u8, to: Dispatch) -> Trip<'a> {
+    pub fn new(state: &'a Arc<State>, task: &'a Task, b: usize, number: u8, to: Dispatch) -> Trip<'a> {
         let address = state.facade.address(to.engine);
         Trip { state, task, b, number, to, address, sent: state.clock.now() }
     }
@@ -149,7 +64,7 @@
     }
 
     /// Without a seat nothing was sent, and that says nothing of the engine.
-    fn make(&self) -> Ended {
+    pub fn make(&self) -> Ended {
         if !self.state.pool.take_seat(wait(SEAT_WITHIN)) {
             return ended(Outcome::Moot);
         }
--- a/front/src/state/heart.rs
+++ b/front/src/state/heart.rs
@@ -27,7 +27,7 @@
 
 impl Heart {
     pub fn start(now: At) -> Heart {
-        Heart { beats: Mutex::new(Beats { last: now, stall: (now, now) }) }
+        Heart { beats: Mutex::new(Beats { last: now, stall: (At::default(), At::default()) }) }
     }
 
     /// Something runs; true when that ends a long stall.
--- a/front/tests/front/memory.rs
+++ b/front/tests/front/memory.rs
@@ -62,9 +62,9 @@
     }
     let heart = Heart::start(ms(0));
     assert!(heart.beat(ms(2000)), "a long one");
-    assert_eq!(heart.may_be_from(ms(10), ms(2100)), ms(10), "woken by the stall's end");
-    assert_eq!(heart.may_be_from(ms(2050), ms(2110)), ms(2110), "went to sleep after it");
-    for now in (2110..2400).step_by(20) {
+    assert_eq!(heart.may_be_from(ms(10), ms(2020)), ms(10), "woken by the stall's end");
+    assert_eq!(heart.may_be_from(ms(2030), ms(2040)), ms(2040), "went to sleep after it");
+    for now in (2040..2400).step_by(20) {
         heart.beat(ms(now));
     }
     assert_eq!(heart.may_be_from(ms(10), ms(2400)), ms(2400), "long after it");
