--- a/front/tests/front/common.rs
+++ b/front/tests/front/common.rs
@@ -30,7 +30,7 @@
 }
 
 /// A configuration; `engine` is known at the start.
-pub fn config(listen: &str, board: SocketAddr, engine: Option<SocketAddr>) -> String {
+pub fn config(listen: &str, board: SocketAddr, engine: Option<SocketAddr>, sockets: usize) -> String {
     let known = engine.map_or(String::new(), |address| {
         format!(
             r#"{{"instanceId":"s-00000001","hostPort":"{address}","zone":"east","machineType":"std",
@@ -39,7 +39,7 @@
     });
     format!(
         r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"board":"{board}",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"board":"{board}",
             "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"generation":1,"reset":true,"instances":[{known}]}}}}]}},
             "settings":{}}}"#,
         settings()
@@ -75,15 +75,15 @@
     /// A front that knows this engine.
     pub fn start(engine: Option<SocketAddr>) -> Front {
         let board = Board::start("127.0.0.1:0").unwrap();
-        Front::start_on("127.0.0.1:0", board, engine)
+        Front::start_on("127.0.0.1:0", board, engine, 256)
     }
 
-    pub fn start_on(listen: &str, board: Board, engine: Option<SocketAddr>) -> Front {
+    pub fn start_on(listen: &str, board: Board, engine: Option<SocketAddr>, sockets: usize) -> Front {
         let name =
             format!("larchfall-{}-{:?}-{:?}", std::process::id(), thread::current().id(), Instant::now());
         let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '-' }).collect();
         let file = std::env::temp_dir().join(name);
-        std::fs::write(&file, config(listen, board.address, engine)).unwrap();
+        std::fs::write(&file, config(listen, board.address, engine, sockets)).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_larchfall"))
             .args(["serve", "--config"])
             .arg(&file)
--- a/front/tests/front/memory.rs
+++ b/front/tests/front/memory.rs
@@ -262,8 +262,12 @@
 
 #[test]
 fn a_configuration_is_refused_by_the_name_of_what_is_wrong() {
-    let sound =
-        common::config("127.0.0.1:0", "127.0.0.1:9".parse().unwrap(), Some("10.0.0.1:7".parse().unwrap()));
+    let sound = common::config(
+        "127.0.0.1:0",
+        "127.0.0.1:9".parse().unwrap(),
+        Some("10.0.0.1:7".parse().unwrap()),
+        256,
+    );
     assert!(config::parse(sound.as_bytes()).is_ok());
     let cases = [
         ("", "EOF"),
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -204,6 +204,37 @@
     assert_eq!(client.answer().unwrap(), (33, Answer::Error("Rejected".into(), None)));
 }
 
+#[test]
+fn dispatches_beyond_the_descriptors_are_pushed_back_and_say_nothing_of_the_engine() {
+    let engine = Engine::start("127.0.0.1:0", |call| {
+        let takes = if call.statement == b"long" { FOREVER } else { NOW };
+        Act::Serve(takes, pages(&["ok\n"]))
+    })
+    .unwrap();
+    // Of 32 descriptors four are for connections to engines.
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let front = Front::start_on("127.0.0.1:0", board, Some(engine.address), 32);
+    let mut client = front.client();
+    for n in 0..4 {
+        client.send("once", &fields(&format!("{n:016x}"), "25000"), "long").unwrap();
+    }
+    until_seen(&engine, "four to run", |s| s.started.len() == 4);
+    for n in 4..12 {
+        let sent = client.send("once", &fields(&format!("{n:016x}"), "25000"), "").unwrap();
+        assert_eq!(client.answer().unwrap(), (sent, Answer::Error("Rejected".into(), Some("500".into()))));
+    }
+    client.abort(1).unwrap();
+    until_seen(&engine, "one to be given up", |s| s.given_up.len() == 1);
+    wait_for("the engine to be used again", || {
+        client.send("once", &fields(ID, "25000"), "").unwrap();
+        (client.answer().unwrap().1 == rows("ok\n")).then_some(())
+    });
+    // Told as failed connections, they would have counted against a sound engine.
+    front.signal("-USR1");
+    let line = front.log.wait_for("group=once");
+    assert!(line.contains("connect_failed=0") && !line.contains("moot=0"), "{line}");
+}
+
 #[test]
 fn the_board_is_followed_through_bad_frames_and_ends() {
     let (old, new) = (engine(Act::Serve(NOW, pages(&["old\n"]))), engine(Act::Serve(NOW, pages(&["new\n"]))));
@@ -265,7 +296,7 @@
     first.signal("-KILL");
     assert!(!first.ended().success());
     let board = Board::start("127.0.0.1:0").unwrap();
-    let second = Front::start_on(&first.address.to_string(), board, Some(engine.address));
+    let second = Front::start_on(&first.address.to_string(), board, Some(engine.address), 256);
     let mut client = Client::connect(second.address).unwrap();
     client.send("look", &fields(ID, "20000"), "").unwrap();
     assert_eq!(client.answer().unwrap().1, rows("ok\n"));
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -677,3 +677,21 @@
         }
     }
 }
+
+// Guards against work that outlasts a planned restart: it would be lost without an answer.
+#[test]
+fn what_a_front_holds_has_its_answer_before_the_front_ends() {
+    // What became of its dispatch, and the answer that ends it, with twenty seconds left of its own time.
+    let cases = [(0, Outcome::TimedOut, true), (2, Outcome::TimedOut, false), (2, Outcome::Full, true)];
+    for (group, outcome, harmless) in cases {
+        let mut front = Rig::default().start(2);
+        let (b, place) = front.take(0, batch(group));
+        assert!(sent_to(place).is_some());
+        front.policy.end_by(ms(3000));
+        assert_eq!(front.policy.place(ms(2000), b), Place::NotYet);
+        assert_eq!(front.end(2990, b, 0, outcome, 2990), Next::Ask);
+        let place = front.policy.place(ms(2990), b);
+        assert_eq!(matches!(place, Place::PushBack(_)), harmless, "{outcome:?}: {place:?}");
+        assert!(harmless || place == Place::Error, "{outcome:?}: {place:?}");
+    }
+}
