--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -4,6 +4,8 @@
 use larchfall_toy::board::{Board, frame};
 use larchfall_toy::client::{Answer, Client, request};
 use larchfall_toy::engine::{Act, Engine};
+use std::io::Read;
+use std::net::TcpListener;
 use std::time::Duration;
 
 const NOW: Duration = Duration::ZERO;
@@ -72,6 +74,22 @@
     }
 }
 
+#[test]
+fn what_a_dead_engine_may_have_run_is_not_pushed_back() {
+    for (group, name) in [("once", "Errored"), ("load", "Rejected")] {
+        let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+        let front = Front::start(Some(engine.local_addr().unwrap()));
+        let mut client = front.client();
+        client.send(group, &fields(ID, "20000"), "").unwrap();
+        // It dies with the call in its hands, and nobody listens there any more.
+        let (mut stream, _) = engine.accept().unwrap();
+        assert!(stream.read(&mut [0; 1024]).unwrap() > 0);
+        drop(engine);
+        drop(stream);
+        assert!(matches!(client.answer().unwrap().1, Answer::Error(n, _) if n == name), "{group}");
+    }
+}
+
 #[test]
 fn a_batch_that_runs_out_of_time_is_answered_and_given_up() {
     let engine = engine(Act::Serve(FOREVER, pages(&[""])));
