Give-ups keep their seat, nothing is sent for a client that left, no blame for lost time

Read of dispatch.rs: with all seats taken a timed-out dispatch found none for its DELETE and was left running (give_up_beside now passes its own seat on); a batch whose client left while it waited for a connection was sent all the same; a connection that was not up when the time had run out counted against the engine; an engine that answers 202 at once was asked without pause.

--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -64,17 +64,13 @@
     });
     let reason = converse(state, &stream, &peer);
     for b in peer.abort_all() {
-        left(state, b);
+        state.facade.leave(b);
     }
     state.peers.part(place);
     info!(state.log, "client connection ended";
         "from" => from.to_string(), "reason" => reason.code(), "detail" => reason.detail());
 }
 
-fn left(state: &State, b: usize) {
-    state.facade.leave(b);
-}
-
 fn converse(state: &Arc<State>, stream: &TcpStream, peer: &Arc<Peer>) -> Reason {
     let mut input = Vec::new();
     // A new connection may have waited in the listener's queue for as long as a stall lasted.
@@ -154,7 +150,7 @@
                 peer.say(id, &rpc::Answer::Pong);
             }
             Message::Abort(ids) => {
-                ids.into_iter().filter_map(|id| peer.abort(id)).for_each(|b| left(state, b));
+                ids.into_iter().filter_map(|id| peer.abort(id)).for_each(|b| state.facade.leave(b));
             }
             Message::Unusable(id, why) => {
                 if peer.opening(id) == Opening::UsedTwice {
--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -8,6 +8,7 @@
 use larchfall::interface::{Dispatch, Outcome, Place, Report};
 use larchfall::time::{At, Span};
 use slog::warn;
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,12 +50,22 @@
     to: Dispatch,
     address: SocketAddrV4,
     pub sent: At,
+    seat_passed_on: Cell<bool>,
 }
 
 impl<'a> Trip<'a> {
     pub fn new(state: &'a Arc<State>, task: &'a Task, b: usize, number: u8, to: Dispatch) -> Trip<'a> {
         let address = state.facade.address(to.engine);
-        Trip { state, task, b, number, to, address, sent: state.clock.now() }
+        Trip {
+            state,
+            task,
+            b,
+            number,
+            to,
+            address,
+            sent: state.clock.now(),
+            seat_passed_on: Cell::new(false),
+        }
     }
 
     /// The time-out, or the end of this front when that comes first.
@@ -69,15 +80,28 @@
             return ended(Outcome::Moot);
         }
         let ended = self.seated();
-        self.state.pool.leave_seat();
+        if !self.seat_passed_on.get() {
+            self.state.pool.leave_seat();
+        }
         ended
     }
 
+    /// No byte left. What ran out of time before says nothing of the engine.
+    fn not_sent(&self, why: NoLink) -> Ended {
+        let out_of_time = why == NoLink::Silent && self.state.clock.now() >= self.until();
+        ended(if out_of_time { Outcome::Moot } else { Outcome::ConnectFailed })
+    }
+
     fn seated(&self) -> Ended {
         let mut link = match self.link(self.until()) {
             Ok(link) => link,
-            Err(_) => return ended(Outcome::ConnectFailed),
+            Err(why) => return self.not_sent(why),
         };
+        if self.state.facade.left(self.b).is_some() {
+            // Its client left while it waited for this connection.
+            self.done(link);
+            return ended(Outcome::Moot);
+        }
         let call = http::start(
             self.address,
             &Start {
@@ -96,12 +120,12 @@
             drop(link);
             link = match self.link(self.until()) {
                 Ok(link) => link,
-                Err(_) => return ended(Outcome::ConnectFailed),
+                Err(why) => return self.not_sent(why),
             };
             reply = self.call(&mut link, &call);
             if reply == Err(Fault::Unsent) {
                 drop(link);
-                return ended(Outcome::ConnectFailed);
+                return self.not_sent(NoLink::Silent);
             }
         }
         self.follow(link, reply)
@@ -111,6 +135,7 @@
     fn follow(&self, link: Link, first: Result<Reply, Fault>) -> Ended {
         let mut link = Some(link);
         let mut news = first;
+        let mut asked = self.sent;
         loop {
             match news {
                 Ok(reply) if reply.status == 202 => {
@@ -118,6 +143,10 @@
                         self.state.facade.note(self.b, self.number, note);
                     }
                     link = self.keep(link, reply.closes);
+                    if reply.note.is_none() && self.state.clock.now().since(asked) < PAUSE {
+                        // Against an engine that has no news and does not hold the call back.
+                        may::coroutine::sleep(wait(PAUSE));
+                    }
                 }
                 Ok(reply) if reply.status == 200 => return self.collect(link, reply),
                 Ok(reply) => {
@@ -158,6 +187,7 @@
                 };
             }
             let ask = http::page(self.address, &self.task.id, 0);
+            asked = self.state.clock.now();
             news = match &mut link {
                 Some(link) => self.call(link, &ask),
                 None => Err(Fault::Late),
@@ -256,12 +286,11 @@
         }
     }
 
+    /// Gives up on the seat of this dispatch, which has its outcome already.
     fn give_up_beside(&self, link: Option<Link>) {
         let ask = http::give_up(self.address, &self.task.id);
         let (state, e, address) = (self.state.clone(), self.to.engine, self.address);
-        if !state.pool.take_seat(Duration::ZERO) {
-            return;
-        }
+        self.seat_passed_on.set(true);
         may::go!(move || {
             let until = state.clock.now() + GIVE_UP_WITHIN;
             if let Some(mut link) = link.or_else(|| self::link(&state, e, address, until).ok())
