Who waits for a seat is let in by the module's priority, then in turn

Seats were handed on in turn whatever the rank (pool.rs, the crate's semaphore). state/seats.rs hands them on by the priority that the module gives, then in turn. The order has a test.

--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -76,7 +76,7 @@
 
     /// Without a seat nothing was sent, and that says nothing of the engine.
     pub fn make(&self) -> Ended {
-        if !self.state.pool.take_seat(wait(SEAT_WITHIN)) {
+        if !self.state.pool.take_seat(self.to.priority, wait(SEAT_WITHIN)) {
             return ended(Outcome::Moot);
         }
         let ended = self.seated();
@@ -338,7 +338,7 @@
 
 /// Asks an engine for its load report; dispatches come first.
 pub fn probe(state: &State, e: usize) {
-    if !state.pool.take_seat(Duration::ZERO) {
+    if !state.pool.take_seat(0, Duration::ZERO) {
         return;
     }
     state.counters.rest(|c| c.probes += 1);
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -9,6 +9,7 @@
 pub mod limits;
 pub mod peer;
 pub mod pool;
+pub mod seats;
 
 use clock::Clock;
 use counters::Counters;
--- a/front/src/state/pool.rs
+++ b/front/src/state/pool.rs
@@ -2,9 +2,9 @@
 //! coroutine that took it.
 
 use super::lock;
+use super::seats::Seats;
 use crate::link::Link;
 use larchfall::time::{At, Span};
-use may::sync::Semphore;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Mutex;
@@ -15,7 +15,7 @@
 const SPARE: usize = 8;
 
 pub struct Pool {
-    seats: Semphore,
+    seats: Seats,
     idle: Mutex<Idle>,
     most: usize,
     keep: Span,
@@ -42,14 +42,14 @@
 impl Pool {
     /// Engines close what was idle for `idle_close`: at half of that it is let go here.
     pub fn new(most: usize, idle_close: Span) -> Pool {
-        let seats = Semphore::new((most - most / SPARE).max(1));
+        let seats = Seats::new((most - most / SPARE).max(1));
         Pool { seats, idle: Mutex::default(), most, keep: idle_close * 0.5 }
     }
 
     /// A seat is the right to one connection at a time. It is taken for a whole dispatch, so that what was
     /// sent can always be asked for and given up; false when none came free in time.
-    pub fn take_seat(&self, within: Duration) -> bool {
-        let seated = self.seats.try_wait() || (!within.is_zero() && self.seats.wait_timeout(within));
+    pub fn take_seat(&self, priority: u8, within: Duration) -> bool {
+        let seated = self.seats.take(priority, within);
         if seated {
             lock(&self.idle).seated += 1;
         }
@@ -58,7 +58,7 @@
 
     pub fn leave_seat(&self) {
         lock(&self.idle).seated -= 1;
-        self.seats.post();
+        self.seats.leave();
     }
 
     /// An idle connection that is still good; else makes room for a new one. Only for the seated.
--- /dev/null
+++ b/front/src/state/seats.rs
@@ -0,0 +1,62 @@
+//! Seats: how many dispatches may be out at a time. Whoever waits for one is let in by the priority that the
+//! module gave, then in turn: while seats are short, they are where batches meet first, and a plain queue would
+//! let the many short ones keep the few of a higher rank out.
+
+use super::lock;
+use may::sync::Blocker;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+pub struct Seats {
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    free: usize,
+    /// By priority, the highest first, then by when they came.
+    waiting: BTreeMap<(Reverse<u8>, u64), Arc<Blocker>>,
+    came: u64,
+}
+
+impl Seats {
+    pub fn new(free: usize) -> Seats {
+        Seats { inner: Mutex::new(Inner { free, waiting: BTreeMap::new(), came: 0 }) }
+    }
+
+    /// Takes a seat, or waits for one that long; false when none came free in time.
+    pub fn take(&self, priority: u8, within: Duration) -> bool {
+        let blocker = Blocker::current();
+        let place = {
+            let mut inner = lock(&self.inner);
+            if inner.free > 0 {
+                inner.free -= 1;
+                return true;
+            }
+            if within.is_zero() {
+                return false;
+            }
+            inner.came += 1;
+            let place = (Reverse(priority), inner.came);
+            inner.waiting.insert(place, blocker.clone());
+            place
+        };
+        let _ = blocker.park(Some(within));
+        // Who is no longer waiting was given a seat, be it at the last moment.
+        lock(&self.inner).waiting.remove(&place).is_none()
+    }
+
+    pub fn waiting(&self) -> usize {
+        lock(&self.inner).waiting.len()
+    }
+
+    /// Leaves a seat to the first of those who wait.
+    pub fn leave(&self) {
+        let mut inner = lock(&self.inner);
+        match inner.waiting.pop_first() {
+            Some((_, first)) => first.unpark(),
+            None => inner.free += 1,
+        }
+    }
+}
--- a/front/tests/front/memory.rs
+++ b/front/tests/front/memory.rs
@@ -14,12 +14,14 @@
 use larchfall_front::state::limits::Limits;
 use larchfall_front::state::peer::{MOST_OPEN, Opening, Peers};
 use larchfall_front::state::pool::Pool;
+use larchfall_front::state::seats::Seats;
 use larchfall_front::wire::board::{Entry, Event};
 use larchfall_front::wire::{http, rpc};
 use larchfall_toy::engine::{Act, Engine};
 use may::io::WaitIo;
 use std::io::Read;
 use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 fn ms(n: u64) -> At {
@@ -156,20 +158,53 @@
     in_coroutine(|| {
         let engine = Engine::start("127.0.0.1:0", |_| Act::Decline).unwrap();
         let pool = Pool::new(2, Span::from_millis(10_000));
-        assert!(pool.take_seat(Duration::ZERO) && pool.take_seat(Duration::ZERO));
-        assert!(!pool.take_seat(Duration::ZERO), "all taken");
-        assert!(!pool.take_seat(Duration::from_millis(1)), "none came free");
+        assert!(pool.take_seat(1, Duration::ZERO) && pool.take_seat(1, Duration::ZERO));
+        assert!(!pool.take_seat(1, Duration::ZERO), "all taken");
+        assert!(!pool.take_seat(1, Duration::from_millis(1)), "none came free");
         for e in 0..4 {
             pool.keep(e, Link::open(v4(engine.address), SOON).unwrap(), ms(e as u64));
         }
         assert_eq!(pool.open(), (2, 1), "only the giver's own may stay beside two seats");
         pool.leave_seat();
         pool.leave_seat();
-        assert!(pool.take_seat(Duration::ZERO));
+        assert!(pool.take_seat(1, Duration::ZERO));
         assert!(pool.idle(3, v4(engine.address), ms(5)).is_some(), "the youngest was kept");
     });
 }
 
+#[test]
+fn seats_go_by_priority_then_in_turn() {
+    in_coroutine(|| {
+        let seats = Arc::new(Seats::new(1));
+        assert!(seats.take(1, Duration::ZERO) && !seats.take(3, Duration::ZERO));
+        let order = Arc::new(Mutex::new(Vec::new()));
+        let waiting: Vec<_> = [(1, 'a'), (3, 'b'), (1, 'c'), (2, 'd'), (3, 'e')]
+            .into_iter()
+            .map(|(priority, name)| {
+                let before = seats.waiting();
+                let (theirs, order) = (seats.clone(), order.clone());
+                let waits = may::go!(move || {
+                    let seated = theirs.take(priority, SOON);
+                    order.lock().unwrap().push(name);
+                    theirs.leave();
+                    seated
+                });
+                while seats.waiting() <= before {
+                    may::coroutine::sleep(Duration::from_millis(1));
+                }
+                waits
+            })
+            .collect();
+        seats.leave();
+        assert!(waiting.into_iter().all(|w| w.join().unwrap()));
+        assert_eq!(order.lock().unwrap().iter().collect::<String>(), "bedac");
+        assert!(seats.take(1, Duration::ZERO), "the last one left it free");
+        assert!(!seats.take(1, Duration::from_millis(1)), "none came free");
+        seats.leave();
+        assert!(seats.take(1, Duration::ZERO), "who gave up waiting holds none");
+    });
+}
+
 #[test]
 fn calls_on_a_connection_fail_by_what_is_known() {
     in_coroutine(|| {
