Counters are logged in one place, an id is checked in one place

Read of the whole change: run/serve.rs and run/stop.rs wrote the same loop over the counters, and client.rs checked a message's id three times.

--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -137,15 +137,22 @@
     if ended { Err(Reason::ClientClosed) } else { got }
 }
 
+/// Whether a batch may be opened under this id; one that was used before ends the connection.
+fn open(peer: &Peer, id: u32) -> Result<bool, Reason> {
+    match peer.opening(id) {
+        Opening::Open => Ok(true),
+        Opening::TooMany => Ok(false),
+        Opening::UsedTwice => Err(Reason::IdUsedTwice),
+    }
+}
+
 fn take_messages(state: &Arc<State>, peer: &Arc<Peer>, input: &mut Vec<u8>, sent: At) -> Result<(), Reason> {
     let mut at = 0;
     while let Some((message, used)) = rpc::decode(&input[at..]).map_err(Reason::Malformed)? {
         at += used;
         match message {
             Message::Ping(id) => {
-                if peer.opening(id) == Opening::UsedTwice {
-                    return Err(Reason::IdUsedTwice);
-                }
+                open(peer, id)?;
                 state.counters.rest(|c| c.pings += 1);
                 peer.say(id, &rpc::Answer::Pong);
             }
@@ -153,20 +160,18 @@
                 ids.into_iter().filter_map(|id| peer.abort(id)).for_each(|b| state.facade.leave(b));
             }
             Message::Unusable(id, why) => {
-                if peer.opening(id) == Opening::UsedTwice {
-                    return Err(Reason::IdUsedTwice);
-                }
+                open(peer, id)?;
                 state.counters.rest(|c| c.unusable += 1);
                 peer.say(id, &rpc::Answer::Errored(why));
             }
-            Message::Batch(id, request) => match peer.opening(id) {
-                Opening::UsedTwice => return Err(Reason::IdUsedTwice),
-                Opening::TooMany => {
+            Message::Batch(id, request) => {
+                if open(peer, id)? {
+                    take(state, peer, id, &request, sent);
+                } else {
                     state.counters.rest(|c| c.over_limits += 1);
                     peer.say(id, &rpc::Answer::PushedBack(None));
                 }
-                Opening::Open => take(state, peer, id, &request, sent),
-            },
+            }
         }
     }
     input.drain(..at);
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -51,9 +51,7 @@
         })
     };
     let ended = main.join();
-    for line in state.counters.lines(&state.names.groups) {
-        info!(state.log, "counters: {}", line);
-    }
+    state.log_counters();
     ended.map_err(|_| (1, "the coroutine that waits for signals panicked".to_owned()))
 }
 
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -50,9 +50,7 @@
     may::go!(move || {
         let mut byte = [0];
         while matches!(ask.read(&mut byte), Ok(1)) {
-            for line in asked.counters.lines(&asked.names.groups) {
-                info!(asked.log, "counters: {}", line);
-            }
+            asked.log_counters();
         }
     });
     let _ = term.read(&mut [0]);
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -20,7 +20,7 @@
 use limits::Limits;
 use peer::Peers;
 use pool::Pool;
-use slog::Logger;
+use slog::{Logger, info};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -56,6 +56,12 @@
         self.done.load(Ordering::Relaxed)
     }
 
+    pub fn log_counters(&self) {
+        for line in self.counters.lines(&self.names.groups) {
+            info!(self.log, "counters: {}", line);
+        }
+    }
+
     /// From now on nothing is promised beyond this time.
     pub fn end_at(&self, at: At) {
         *lock(&self.ends) = Some(at);
