SIGHUP reads the configuration again and moves to the notice board that it names

Cause: no handler, so the signal's default ended the program (run/stop.rs listened for SIGTERM and SIGUSR1 only); and board.rs kept the address of the start for good (board::follow took it as an argument, once).

Now run/reload.rs reads the file on a thread of its own (tried again for 0.5 s when it is unsound, then the old one stays), takes new events of known, and starts a follower at once; the one before ends at its next frame. A first try sent the configuration through the channel unboxed: the channel lays out room for many on the coroutine's stack and overflowed it in a debug build.

The test fails without the handler.

--- a/front/src/board.rs
+++ b/front/src/board.rs
@@ -18,12 +18,13 @@
 const FIRST_PAUSE: Span = Span::from_millis(100);
 const LONGEST_PAUSE: Span = Span::from_millis(1500);
 
-pub fn follow(state: &Arc<State>, address: SocketAddrV4, seed: u64) {
+/// Until another configuration names the board: then another follower has this number's place.
+pub fn follow(state: &Arc<State>, address: SocketAddrV4, seed: u64, era: u64) {
     let mut chance = WyRand::new_seed(seed);
     let mut pause = FIRST_PAUSE;
-    loop {
+    while state.is_board(era) {
         let mut frames = 0;
-        let reason = listen(state, address, &mut frames);
+        let reason = listen(state, address, era, &mut frames);
         info!(state.log, "notice board connection ended"; "reason" => reason, "frames" => frames);
         pause = if frames > 0 { FIRST_PAUSE } else { (pause * 2.0).min(LONGEST_PAUSE) };
         may::coroutine::sleep(wait(pause * (0.5 + 0.5 * chance.generate::<f64>())));
@@ -39,7 +40,7 @@
 }
 
 /// Listens until the connection ends; the reason.
-fn listen(state: &Arc<State>, address: SocketAddrV4, frames: &mut u64) -> &'static str {
+fn listen(state: &Arc<State>, address: SocketAddrV4, era: u64, frames: &mut u64) -> &'static str {
     let Ok(mut stream) = TcpStream::connect_timeout(&SocketAddr::V4(address), wait(CONNECT_WITHIN)) else {
         return "no-connection";
     };
@@ -65,6 +66,9 @@
                 }
             }
         }
+        if !state.is_board(era) {
+            return "replaced";
+        }
         let had = input.len();
         input.resize(had + 4096, 0);
         let got = stream.read(&mut input[had..]);
--- a/front/src/run/command.rs
+++ b/front/src/run/command.rs
@@ -15,7 +15,8 @@
   --config FILE   the configuration; else the environment's NODE_CONFIG names it
   -h, --help      print help
 
-On SIGUSR1 a front logs its counters; on SIGTERM it answers what it holds and ends.
+On SIGUSR1 a front logs its counters; on SIGHUP it reads its configuration again and follows the notice board
+that it names; on SIGTERM it answers what it holds and ends.
 Exit codes: 0 done, 1 failed while running, 2 wrong arguments or configuration.
 ";
 const SERVE_HELP: &str = "usage: larchfall serve [--config FILE]\n\nRuns a front until SIGTERM.\n";
@@ -93,7 +94,7 @@
             };
             if task == Task::Check {
                 println!("{file}: sound");
-            } else if let Err((code, why)) = serve::run(config) {
+            } else if let Err((code, why)) = serve::run(file, config) {
                 eprintln!("larchfall: {why}");
                 return ExitCode::from(code);
             }
--- a/front/src/run/mod.rs
+++ b/front/src/run/mod.rs
@@ -3,5 +3,6 @@
 pub mod command;
 pub mod config;
 pub mod log;
+pub mod reload;
 pub mod serve;
 pub mod stop;
--- /dev/null
+++ b/front/src/run/reload.rs
@@ -0,0 +1,56 @@
+//! SIGHUP: the configuration file is read again while the front serves on. What it says of the notice board is
+//! taken; the rest is how this front was started, and changes with the next start.
+
+use super::config::{self, Config};
+use crate::board;
+use crate::state::State;
+use crate::state::clock::wait;
+use larchfall::time::Span;
+use may::io::CoIo;
+use may::sync::mpsc;
+use slog::{info, warn};
+use std::io::Read;
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+
+/// Whoever replaces the file may still be writing it: it is read this often before the old one is kept.
+const TRIES: usize = 5;
+const PAUSE: Span = Span::from_millis(100);
+
+/// Follows the signal for good; each byte is one.
+pub fn on_signal(state: &Arc<State>, mut asked: CoIo<UnixStream>, file: &str, seed: u64) {
+    let mut byte = [0];
+    while matches!(asked.read(&mut byte), Ok(1)) {
+        if let Some(config) = read(state, file) {
+            for event in &config.known {
+                board::take(state, event);
+            }
+            info!(state.log, "configuration read again"; "board" => config.board.to_string());
+            // A follower of its own, at once: the old board may stay silent and hold its connection open.
+            let era = state.next_board();
+            let state = state.clone();
+            may::go!(move || board::follow(&state, config.board, seed, era));
+        }
+    }
+}
+
+/// Reads the file on a thread of its own: neither the disk nor a long list may hold up the one worker.
+/// Boxed: a channel lays out room for many results at once, on a coroutine's small stack.
+fn read(state: &State, file: &str) -> Option<Box<Config>> {
+    for attempt in 1..=TRIES {
+        let (done, result) = mpsc::channel();
+        let path = file.to_owned();
+        let started = std::thread::Builder::new().spawn(move || {
+            let _ = done.send(config::read(&path).map(Box::new));
+        });
+        let read = started.map_err(|e| e.to_string()).and_then(|_| {
+            result.recv().unwrap_or_else(|_| Err("the thread that reads it panicked".to_owned()))
+        });
+        match read {
+            Ok(config) => return Some(config),
+            Err(why) => warn!(state.log, "configuration not taken: {}", why; "attempt" => attempt),
+        }
+        may::coroutine::sleep(wait(PAUSE));
+    }
+    None
+}
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -1,7 +1,7 @@
 //! Puts the parts together and lets them run.
 
 use super::config::Config;
-use super::{log, stop};
+use super::{log, reload, stop};
 use crate::state::State;
 use crate::state::clock::{Clock, wait};
 use crate::state::counters::Counters;
@@ -14,7 +14,7 @@
 use larchfall::time::Span;
 use may::net::TcpListener;
 use slog::{info, warn};
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
 
 /// Bytes of each coroutine's stack. Only pages that were touched count as memory; see docs/front.md.
@@ -22,7 +22,7 @@
 const PAUSE: Span = Span::from_millis(5);
 
 /// Runs a front to its end; a failure with the exit code for it.
-pub fn run(config: Config) -> Result<(), (u8, String)> {
+pub fn run(file: String, config: Config) -> Result<(), (u8, String)> {
     may::config().set_workers(1).set_stack_size(STACK / size_of::<usize>()).set_worker_pin(false);
     let address = config.listen;
     // may's listener shares its port with any other of ours; a plain one finds out whether the port is free.
@@ -37,7 +37,7 @@
     for event in &known {
         board::take(&state, event);
     }
-    let signals = stop::Signals::listen().map_err(|e| (1, format!("signals: {e}")))?;
+    let mut signals = stop::Signals::listen().map_err(|e| (1, format!("signals: {e}")))?;
     info!(state.log, "listening"; "clients" => state.limits.clients, "engine_links" => state.limits.engine_links,
         "batches" => state.limits.batches, "address" => listener.local_addr().unwrap_or(address.into()).to_string());
     let main = {
@@ -45,7 +45,12 @@
         may::go!(move || {
             let (s1, s2, s3) = (state.clone(), state.clone(), state.clone());
             may::go!(move || timer::run(&s1));
-            may::go!(move || board::follow(&s2, board_address, seed));
+            let era = s2.next_board();
+            may::go!(move || board::follow(&s2, board_address, seed, era));
+            if let Some(asked) = signals.reload.take() {
+                let state = state.clone();
+                may::go!(move || reload::on_signal(&state, asked, &file, seed));
+            }
             may::go!(move || accept(&s3, &listener));
             stop::until_ended(&state, signals);
         })
@@ -79,6 +84,7 @@
         log,
         ends: Mutex::new(None),
         done: AtomicBool::new(false),
+        board: AtomicU64::new(0),
     }
 }
 
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -5,7 +5,7 @@
 use crate::state::clock::wait;
 use larchfall::time::Span;
 use may::io::CoIo;
-use signal_hook::consts::{SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook::low_level::pipe;
 use slog::info;
 use std::io::{self, Read};
@@ -27,11 +27,12 @@
 pub struct Signals {
     term: CoIo<UnixStream>,
     ask: CoIo<UnixStream>,
+    pub reload: Option<CoIo<UnixStream>>,
 }
 
 impl Signals {
     pub fn listen() -> io::Result<Signals> {
-        Ok(Signals { term: stream(SIGTERM)?, ask: stream(SIGUSR1)? })
+        Ok(Signals { term: stream(SIGTERM)?, ask: stream(SIGUSR1)?, reload: Some(stream(SIGHUP)?) })
     }
 }
 
@@ -45,7 +46,7 @@
 
 /// Blocks until this front has ended.
 pub fn until_ended(state: &Arc<State>, signals: Signals) {
-    let Signals { mut term, mut ask } = signals;
+    let Signals { mut term, mut ask, .. } = signals;
     let asked = state.clone();
     may::go!(move || {
         let mut byte = [0];
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -21,7 +21,7 @@
 use peer::Peers;
 use pool::Pool;
 use slog::{Logger, info};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// All parts of a front, shared by its coroutines.
@@ -45,6 +45,8 @@
     pub ends: Mutex<Option<At>>,
     /// All is answered: connections may end.
     pub done: AtomicBool,
+    /// Which follower of the notice board is the present one.
+    pub board: AtomicU64,
 }
 
 impl State {
@@ -56,6 +58,15 @@
         self.done.load(Ordering::Relaxed)
     }
 
+    /// The number of a new follower; the ones before it end.
+    pub fn next_board(&self) -> u64 {
+        self.board.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    pub fn is_board(&self, era: u64) -> bool {
+        self.board.load(Ordering::Relaxed) == era
+    }
+
     pub fn log_counters(&self) {
         for line in self.counters.lines(&self.names.groups) {
             info!(self.log, "counters: {}", line);
--- a/front/tests/front/common.rs
+++ b/front/tests/front/common.rs
@@ -117,6 +117,12 @@
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
+    /// Replaces the configuration and tells the front.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("-HUP");
+    }
+
     /// Waits for the program's end.
     pub fn ended(&mut self) -> ExitStatus {
         wait_for("the front to end", || self.child.try_wait().unwrap())
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -1,7 +1,7 @@
 //! The program on loopback sockets, between toy engines, a toy board and toy clients.
 
-use crate::common::{Front, nobody, until_seen, wait_for};
-use larchfall_toy::board::{Board, frame};
+use crate::common::{Front, config, nobody, until_seen, wait_for};
+use larchfall_toy::board::{Board, Listed, frame};
 use larchfall_toy::client::{Answer, Client, request};
 use larchfall_toy::engine::{Act, Engine};
 use std::io::Read;
@@ -290,6 +290,30 @@
     assert_eq!(client.answer().unwrap().1, rows("ok\n"), "the list is kept");
 }
 
+/// Guards against a front that SIGHUP ends, and one that stays with a board that tells nothing more.
+#[test]
+fn told_to_read_its_configuration_again_a_front_serves_on_and_follows_the_new_board() {
+    let engine = engine(Act::Serve(Duration::from_millis(400), pages(&["old\n"])));
+    let new = self::engine(Act::Serve(NOW, pages(&["new\n"])));
+    let front =
+        Front::start_on("127.0.0.1:0", Board::start("127.0.0.1:0").unwrap(), Some(engine.address), 256);
+    let mut client = front.client();
+    let held = client.send("once", &fields(ID, "20000"), "").unwrap();
+    until_seen(&engine, "the query to start", |s| s.started.len() == 1);
+    let board = Board::start("127.0.0.1:0").unwrap();
+    board.say(2, frame(2, true, &[Listed { id: 2, address: new.address, state: 0, zone: 0, kind: 0 }]));
+    front.reload("{\"board\":");
+    front.log.wait_for("configuration not taken");
+    front.reload(&config("127.0.0.1:0", board.address, Some(engine.address), 256));
+    front.log.wait_for("configuration read again");
+    assert_eq!(client.answer().unwrap(), (held, rows("old\n")), "was in hand");
+    wait_for("the new board's engine", || {
+        client.send("look", &fields(ID, "20000"), "").unwrap();
+        (client.answer().unwrap().1 == rows("new\n")).then_some(())
+    });
+    front.log.wait_for("reason: replaced");
+}
+
 #[test]
 fn a_front_that_was_paused_goes_on() {
     let engine = engine(Act::Serve(Duration::from_millis(300), pages(&["ok\n"])));
