Connections that nobody uses make room for those that come

Logs: 1511 of 1525 client connections ended as quiet after 10 s; new ones come at 8 a second a front, so from about 11 s on all 92 places were taken and accept() slept (run/serve.rs), while a batch that waits in the listener's queue counts as taken and is overtaken by later ones of its key.

Now the last eighth of the places is kept free by ending connections on which nobody is owed an answer: first those that never said anything whole, then the quiet longest. Quiet ends after 5 s (clients close after 4 s), a first or begun message after 2 s. A connection counts when it is accepted, and its descriptor is closed before its place is free. Idle ones keep no buffer of 16 KB.

Both tests fail without it.

--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -14,15 +14,19 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Clients close what is idle after 4 s. What is quiet for longer has no client behind it.
-pub const QUIET: Span = Span::from_millis(10_000);
+/// Clients close what is idle after 4 s; what some keep beyond that for good costs others their place.
+pub const QUIET: Span = Span::from_millis(5_000);
+/// A message that has begun, or the first one of a connection, is whole by then: against those that connect and
+/// say nothing, or stop half way, and hold a descriptor.
+pub const WHOLE_WITHIN: Span = Span::from_millis(2_000);
 /// The way of a batch to here and of its answer back, in a busy moment: what is owed leaves this much before
 /// its client gives up.
 const WAY: Span = Span::from_millis(60);
 /// Clients write requests of one key apart from each other, up to this much after one that came on a new
 /// connection, and the time of one that they hold back runs meanwhile.
 const KEYS_APART: Span = Span::from_millis(250);
-const CHUNK: usize = 16 * 1024;
+/// On the stack, so that an idle connection keeps no buffer.
+const CHUNK: usize = 4 * 1024;
 
 /// Why a connection ended: its code in the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +34,8 @@
     ClientClosed,
     ClientReset,
     Quiet,
+    NotWhole,
+    RoomNeeded,
     NotRead,
     Malformed(&'static str),
     IdUsedTwice,
@@ -42,6 +48,8 @@
             Reason::ClientClosed => "client-closed",
             Reason::ClientReset => "client-reset",
             Reason::Quiet => "quiet",
+            Reason::NotWhole => "no-whole-message",
+            Reason::RoomNeeded => "room-needed",
             Reason::NotRead => "answers-not-read",
             Reason::Malformed(_) => "malformed",
             Reason::IdUsedTwice => "id-used-twice",
@@ -54,10 +62,25 @@
     }
 }
 
-/// Serves one connection to its end.
-pub fn serve(state: &Arc<State>, stream: TcpStream, from: SocketAddr) {
+/// A connection that counts among those of this front.
+pub struct Joined {
+    stream: TcpStream,
+    from: SocketAddr,
+    place: usize,
+    peer: Arc<Peer>,
+}
+
+/// Counts a connection as soon as it is accepted: its coroutine may run much later, and meanwhile others would
+/// take descriptors that are not there.
+pub fn join(state: &State, stream: TcpStream, from: SocketAddr) -> Joined {
     let _ = stream.set_nodelay(true);
     let (place, peer) = state.peers.join(stream.waker(), state.clock.now());
+    Joined { stream, from, place, peer }
+}
+
+/// Serves one connection to its end.
+pub fn serve(state: &Arc<State>, joined: Joined) {
+    let Joined { stream, from, place, peer } = joined;
     state.counters.rest(|c| {
         c.connections += 1;
         c.most_clients = c.most_clients.max(state.peers.len());
@@ -66,6 +89,8 @@
     for b in peer.abort_all() {
         state.facade.leave(b);
     }
+    // Its descriptor is free before its place is.
+    drop(stream);
     state.peers.part(place);
     info!(state.log, "client connection ended";
         "from" => from.to_string(), "reason" => reason.code(), "detail" => reason.detail());
@@ -102,6 +127,12 @@
             may::coroutine::yield_now();
             continue;
         }
+        if peer.awaits_since().is_some_and(|since| now.since(since) >= WHOLE_WITHIN) {
+            return Reason::NotWhole;
+        }
+        if peer.is_to_go() {
+            return Reason::RoomNeeded;
+        }
         if now.since(peer.quiet_since()) >= QUIET {
             if peer.has_unread() {
                 return Reason::NotRead;
@@ -128,13 +159,14 @@
 }
 
 fn read(stream: &TcpStream, input: &mut Vec<u8>) -> Result<usize, Reason> {
-    let had = input.len();
-    input.resize(had + CHUNK, 0);
-    let got = stream.inner().read(&mut input[had..]);
-    let ended = matches!(got, Ok(0));
-    let got = without_wait(got);
-    input.truncate(had + *got.as_ref().unwrap_or(&0));
-    if ended { Err(Reason::ClientClosed) } else { got }
+    let mut chunk = [0; CHUNK];
+    let got = stream.inner().read(&mut chunk);
+    if matches!(got, Ok(0)) {
+        return Err(Reason::ClientClosed);
+    }
+    let got = without_wait(got)?;
+    input.extend_from_slice(&chunk[..got]);
+    Ok(got)
 }
 
 /// Whether a batch may be opened under this id; one that was used before ends the connection.
@@ -175,8 +207,8 @@
         }
     }
     input.drain(..at);
+    peer.awaits(at > 0, !input.is_empty(), state.clock.now());
     if input.is_empty() {
-        // An idle connection keeps no buffer.
         *input = Vec::new();
     }
     Ok(())
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -19,7 +19,11 @@
 
 /// Bytes of each coroutine's stack. Only pages that were touched count as memory; see docs/front.md.
 const STACK: usize = 64 * 1024;
-const PAUSE: Span = Span::from_millis(5);
+const PAUSE: Span = Span::from_millis(2);
+/// One in so many places for clients is kept free.
+const SPARE: usize = 8;
+/// A connection that is newer than this may be about to speak.
+const FRESH: Span = Span::from_millis(250);
 
 /// Runs a front to its end; a failure with the exit code for it.
 pub fn run(file: String, config: Config) -> Result<(), (u8, String)> {
@@ -88,17 +92,24 @@
     }
 }
 
-/// Takes connections in while there are descriptors for them: the rest wait in the listener's queue.
+/// Takes connections in while there are descriptors for them. What has to wait in the listener's queue counts as
+/// taken all the same, and a batch in it would be overtaken by later ones of its key: so the last places are
+/// kept free by ending connections that nobody uses.
 fn accept(state: &Arc<State>, listener: &TcpListener) {
+    let most = state.limits.clients;
+    let spare = most / SPARE + 1;
     loop {
-        if state.peers.len() >= state.limits.clients {
+        if state.peers.len() + spare >= most {
+            state.peers.make_room(spare, state.clock.now() - FRESH);
+        }
+        if state.peers.len() >= most {
             may::coroutine::sleep(wait(PAUSE));
             continue;
         }
         match listener.accept() {
             Ok((stream, from)) => {
-                let state = state.clone();
-                may::go!(move || client::serve(&state, stream, from));
+                let (state, joined) = (state.clone(), client::join(state, stream, from));
+                may::go!(move || client::serve(&state, joined));
                 may::coroutine::yield_now();
             }
             Err(e) => {
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -72,7 +72,7 @@
     info!(state.log, "ended"; "in_hand" => state.facade.in_hand(), "clients" => state.peers.len());
     // Each connection that is still open leaves its own line.
     state.done.store(true, Ordering::Relaxed);
-    state.peers.wake_quiet(state.clock.now());
+    state.peers.wake_quiet(state.clock.now(), state.clock.now());
     let until = state.clock.now() + LAST_LINES;
     while !state.peers.is_empty() && state.clock.now() < until {
         may::coroutine::sleep(wait(LOOK));
--- a/front/src/state/peer.rs
+++ b/front/src/state/peer.rs
@@ -21,6 +21,16 @@
     last_id: u32,
     unread: Vec<u8>,
     quiet_since: At,
+    /// Since when a message is awaited whole: the first one, or one that has begun.
+    awaits_since: Option<At>,
+    /// Its place is needed.
+    to_go: bool,
+}
+
+impl Desk {
+    fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.unread.is_empty()
+    }
 }
 
 pub struct Peer {
@@ -100,8 +110,25 @@
     }
 
     pub fn is_idle(&self) -> bool {
-        let desk = lock(&self.desk);
-        desk.open.is_empty() && desk.unread.is_empty()
+        lock(&self.desk).is_idle()
+    }
+
+    /// Whether its place is needed and nobody is owed an answer on it.
+    pub fn is_to_go(&self) -> bool {
+        let mut desk = lock(&self.desk);
+        desk.to_go &= desk.is_idle();
+        desk.to_go
+    }
+
+    /// Some of what came was whole, and something is left that is not.
+    pub fn awaits(&self, any_whole: bool, more: bool, now: At) {
+        let mut desk = lock(&self.desk);
+        let since = desk.awaits_since.filter(|_| !any_whole).unwrap_or(now);
+        desk.awaits_since = (more || !any_whole).then_some(since);
+    }
+
+    pub fn awaits_since(&self) -> Option<At> {
+        lock(&self.desk).awaits_since
     }
 
     pub fn has_unread(&self) -> bool {
@@ -146,7 +173,7 @@
     }
 
     pub fn join(&self, waker: WaitIoWaker, now: At) -> (usize, Arc<Peer>) {
-        let desk = Mutex::new(Desk { quiet_since: now, ..Desk::default() });
+        let desk = Mutex::new(Desk { quiet_since: now, awaits_since: Some(now), ..Desk::default() });
         let (unread_by_all, most_unread) = (self.unread.clone(), self.most_unread);
         let peer = Arc::new(Peer { desk, waker, unread_by_all, most_unread });
         (lock(&self.all).insert(peer.clone()), peer)
@@ -169,13 +196,32 @@
         lock(&self.all).iter().all(|(_, p)| p.is_idle())
     }
 
-    /// Wakes those that have been quiet since before then: each looks for itself whether to end.
-    pub fn wake_quiet(&self, before: At) {
-        let quiet: Vec<_> = lock(&self.all)
+    /// Wakes those that have been quiet since before `quiet`, or await a message since before `awaits`: each
+    /// looks for itself whether to end.
+    pub fn wake_quiet(&self, quiet: At, awaits: At) {
+        let due = |p: &Peer| {
+            let desk = lock(&p.desk);
+            desk.quiet_since <= quiet || desk.awaits_since.is_some_and(|since| since <= awaits)
+        };
+        let due: Vec<_> = lock(&self.all).iter().filter(|(_, p)| due(p)).map(|(_, p)| p.clone()).collect();
+        due.iter().for_each(|p| p.wake());
+    }
+
+    /// Asks up to `most` connections to go, of those on which nobody is owed an answer: first those that never
+    /// said anything whole, then those that were quiet longest. What is as new as `fresh` may be about to speak.
+    pub fn make_room(&self, most: usize, fresh: At) {
+        let mut idle: Vec<_> = lock(&self.all)
             .iter()
-            .filter(|(_, p)| p.quiet_since() <= before)
-            .map(|(_, p)| p.clone())
+            .filter_map(|(_, p)| {
+                let desk = lock(&p.desk);
+                let may_go = desk.is_idle() && desk.quiet_since < fresh;
+                may_go.then(|| ((desk.awaits_since.is_none(), desk.quiet_since), p.clone()))
+            })
             .collect();
-        quiet.iter().for_each(|p| p.wake());
+        idle.sort_by_key(|(order, _)| *order);
+        for (_, peer) in idle.iter().take(most) {
+            lock(&peer.desk).to_go = true;
+            peer.wake();
+        }
     }
 }
--- a/front/src/timer.rs
+++ b/front/src/timer.rs
@@ -1,6 +1,6 @@
 //! The one timer: the module's tick, the due times of batches that rest, and what is looked at each tick.
 
-use crate::client::QUIET;
+use crate::client::{QUIET, WHOLE_WITHIN};
 use crate::dispatch;
 use crate::state::State;
 use crate::state::facade::TICK;
@@ -44,5 +44,5 @@
     }
     let now = state.clock.now();
     state.pool.drop_stale(now);
-    state.peers.wake_quiet(now - QUIET);
+    state.peers.wake_quiet(now - QUIET, now - WHOLE_WITHIN);
 }
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -197,6 +197,49 @@
     }
 }
 
+/// Guards against connections that are kept for good: those that came later waited in the listener's queue.
+#[test]
+fn connections_that_nobody_uses_make_room_and_those_with_a_batch_stay() {
+    let engine = engine(Act::Serve(Duration::from_millis(1500), pages(&["ok\n"])));
+    let front =
+        Front::start_on("127.0.0.1:0", Board::start("127.0.0.1:0").unwrap(), Some(engine.address), 64);
+    let mut busy = front.client();
+    let sent = busy.send("look", &fields(ID, "20000"), "").unwrap();
+    // Of 64 descriptors 16 are for clients.
+    let _kept: Vec<Client> = (0..40)
+        .map(|n| {
+            let mut client = front.client();
+            let ping = client.ping().unwrap();
+            assert_eq!(client.answer().unwrap(), (ping, Answer::Pong), "connection {n}");
+            client
+        })
+        .collect();
+    assert_eq!(busy.answer().unwrap(), (sent, rows("ok\n")));
+    assert!(front.log.count("reason: room-needed") >= 24, "not for lack of room");
+}
+
+#[test]
+fn who_says_nothing_whole_is_not_waited_for() {
+    let front = Front::start(None);
+    let whole = {
+        let mut bytes = Vec::new();
+        rmpv::encode::write_value(&mut bytes, &request(1, "look", &fields(ID, "5000"), "")).unwrap();
+        bytes
+    };
+    let half = [&whole[..], &whole[..9]].concat();
+    // A body of 60 MB that is announced, and never comes.
+    let huge = [&whole[..whole.len() - 2], &[0xc6, 3, 0x93, 0x87, 0]].concat();
+    for (bytes, what) in
+        [(&b""[..], "nothing"), (&whole[..9], "a half"), (&half, "one and a half"), (&huge, "60 MB")]
+    {
+        let mut client = front.client();
+        client.raw(bytes).unwrap();
+        let ended = front.log.count("reason: no-whole-message") + 1;
+        wait_for(what, || (front.log.count("reason: no-whole-message") == ended).then_some(()));
+        assert!(bytes.len() > whole.len() || client.is_ended(), "{what}");
+    }
+}
+
 #[test]
 fn what_cannot_be_used_is_answered_with_an_error() {
     let front = Front::start(None);
