What no engine can use is errored at the door; an id in hand is not sent again

At fault: rpc.rs took any req of up to 64 letters, waits and estimates past all bounds, fields of another type as absent, text for a body; client.rs passed unknown customers, references and keys left out; a second request under an id in hand was sent beside the first (its DELETE would give up both). Ruled out: broken rules (none), CPU (0.05 of a core), descriptors (185 of 384).

What the front pushes back over its limits now tells when to come back, as the settings allow. Both tests fail without it.

--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::batch::{self, Task};
 use crate::state::State;
+use crate::state::facade::NotTaken;
 use crate::state::peer::{Opening, Peer};
 use crate::wire::rpc::{self, Message, Request};
 use crate::wire::statement::table_group;
@@ -200,8 +201,7 @@
                 if open(peer, id)? {
                     take(state, peer, id, &request, sent);
                 } else {
-                    state.counters.rest(|c| c.over_limits += 1);
-                    peer.say(id, &rpc::Answer::PushedBack(None));
+                    over_limits(state, peer, id);
                 }
             }
         }
@@ -214,30 +214,53 @@
     Ok(())
 }
 
-/// Takes a batch in. It is picked for here, in the order of reading, so that keys keep their order.
-/// Its time counts from when it may have been sent.
-fn take(state: &Arc<State>, peer: &Arc<Peer>, message: u32, request: &Request, sent: At) {
-    let Some(group) = state.names.groups.iter().position(|g| g == request.group) else {
-        state.counters.rest(|c| c.unusable += 1);
-        return peer.say(message, &rpc::Answer::Errored("unknown service group"));
-    };
-    state.counters.group(group, |c| c.taken += 1);
+/// The batch that a request means, unless the settings know no such thing: an engine could not use it either,
+/// and would be blamed for the error. Its time counts from when it may have been sent.
+fn batch_of(state: &State, request: &Request, sent: At) -> Result<Batch, &'static str> {
+    let known = |list: &[String], name: &str| list.iter().position(|n| n == name);
+    let group = known(&state.names.groups, request.group).ok_or("unknown service group")?;
+    let customer = known(&state.names.customers, request.customer);
+    if customer.is_none() && !state.names.customers.is_empty() {
+        return Err("unknown customer");
+    }
+    if state.referenced[group] && request.reference.is_none() {
+        return Err("opkey is missing");
+    }
+    if state.in_order[group] && request.key.is_none() {
+        return Err("subject is missing");
+    }
     let held_back = if request.key.is_some() { KEYS_APART } else { Span::ZERO };
     let limit = (sent + request.wait.min(state.group_limits[group]) - WAY - held_back).max(sent);
-    let limit = state.ends().map_or(limit, |ends| limit.min(ends));
-    let batch = Batch {
+    Ok(Batch {
         group,
-        customer: state.names.customers.iter().position(|c| c == request.customer),
+        customer,
         key: request.key,
-        time_limit: limit,
+        time_limit: state.ends().map_or(limit, |ends| limit.min(ends)),
         work: request.work,
         memory_mb: request.memory_mb,
         data_set: table_group(request.statement).unwrap_or(0),
+    })
+}
+
+/// Takes a batch in. It is picked for here, in the order of reading, so that keys keep their order.
+fn take(state: &Arc<State>, peer: &Arc<Peer>, message: u32, request: &Request, sent: At) {
+    let unusable = |why| {
+        state.counters.rest(|c| c.unusable += 1);
+        peer.say(message, &rpc::Answer::Errored(why));
     };
-    let Some(b) = state.facade.take(batch) else {
-        state.counters.group(group, |c| c.pushed_back += 1);
-        state.counters.rest(|c| c.over_limits += 1);
-        return peer.say(message, &rpc::Answer::PushedBack(None));
+    let batch = match batch_of(state, request, sent) {
+        Ok(batch) => batch,
+        Err(why) => return unusable(why),
+    };
+    let (group, limit) = (batch.group, batch.time_limit);
+    state.counters.group(group, |c| c.taken += 1);
+    let b = match state.facade.take(request.number, batch) {
+        Ok(b) => b,
+        Err(NotTaken::InHand) => return unusable("this id is in hand already"),
+        Err(NotTaken::NoRoom) => {
+            state.counters.group(group, |c| c.pushed_back += 1);
+            return over_limits(state, peer, message);
+        }
     };
     peer.open(message, b);
     let task = Task {
@@ -260,3 +283,9 @@
         }
     }
 }
+
+/// Never taken in, and told when to come back: those who send hundreds at once may do so again at once.
+fn over_limits(state: &State, peer: &Peer, message: u32) {
+    state.counters.rest(|c| c.over_limits += 1);
+    peer.say(message, &rpc::Answer::PushedBack(state.come_back));
+}
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -10,6 +10,7 @@
 use crate::state::peer::Peers;
 use crate::state::pool::Pool;
 use crate::{board, client, timer};
+use larchfall::interface::Effect;
 use larchfall::policy::Policy;
 use larchfall::time::Span;
 use may::net::TcpListener;
@@ -72,6 +73,8 @@
 ) -> State {
     let clock = Clock::start();
     let in_order = s.groups.iter().map(|g| g.in_order).collect();
+    let referenced = s.groups.iter().map(|g| matches!(g.effect, Effect::Referenced { .. })).collect();
+    let come_back = s.caps.come_back;
     let policy = Policy::new(seed, s.fleet, s.groups, s.customers, s.caps, (s.cold, s.key_quiet), s.ration);
     State {
         clock,
@@ -79,6 +82,8 @@
         names: s.names,
         group_limits: s.limits,
         in_order,
+        referenced,
+        come_back,
         connect_within: s.connect_within,
         facade: Facade::new(policy, clock, limits.batches),
         peers: Peers::new(limits.unread),
--- a/front/src/state/facade.rs
+++ b/front/src/state/facade.rs
@@ -11,14 +11,25 @@
 use larchfall::time::At;
 use may::sync::Blocker;
 use slab::Slab;
+use std::collections::HashSet;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
 
 pub use larchfall::policy::TICK;
 
+/// Why a batch was not taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    NoRoom,
+    /// Another under the same id is in hand. Engines know queries by that id alone: giving up the second would
+    /// give up the first.
+    InHand,
+}
+
 /// A batch in hand.
 #[derive(Default)]
 struct InHand {
+    id: u64,
     /// The client left; `true` inside when what is out is to be called off.
     left: Option<bool>,
     due: Option<At>,
@@ -29,6 +40,7 @@
     policy: Policy,
     engines: Engines,
     hand: Slab<InHand>,
+    ids: HashSet<u64>,
     due: Due,
     timer: Option<Arc<Blocker>>,
 }
@@ -42,18 +54,21 @@
 impl Facade {
     pub fn new(policy: Policy, clock: Clock, most: usize) -> Facade {
         let (engines, hand, due) = (Engines::default(), Slab::new(), Due::default());
-        Facade { inner: Mutex::new(Inner { policy, engines, hand, due, timer: None }), clock, most }
+        let ids = HashSet::new();
+        Facade { inner: Mutex::new(Inner { policy, engines, hand, ids, due, timer: None }), clock, most }
     }
 
-    /// Takes a batch in; `None` when there is no room for another.
-    pub fn take(&self, batch: Batch) -> Option<usize> {
+    pub fn take(&self, id: u64, batch: Batch) -> Result<usize, NotTaken> {
         let mut inner = lock(&self.inner);
         if inner.hand.len() >= self.most {
-            return None;
+            return Err(NotTaken::NoRoom);
+        }
+        if !inner.ids.insert(id) {
+            return Err(NotTaken::InHand);
         }
-        let b = inner.hand.insert(InHand::default());
+        let b = inner.hand.insert(InHand { id, ..InHand::default() });
         inner.policy.take(self.clock.now(), b, batch);
-        Some(b)
+        Ok(b)
     }
 
     /// Where to send this batch, or not yet, or never.
@@ -116,7 +131,9 @@
     pub fn release(&self, b: usize) {
         let mut guard = lock(&self.inner);
         let inner = &mut *guard;
-        if let Some(at) = inner.hand.try_remove(b).and_then(|h| h.due) {
+        let Some(hand) = inner.hand.try_remove(b) else { return };
+        inner.ids.remove(&hand.id);
+        if let Some(at) = hand.due {
             inner.due.remove(at, b);
         }
     }
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -32,6 +32,10 @@
     pub group_limits: Vec<Span>,
     /// Service groups whose batches of one key go one after the other.
     pub in_order: Vec<bool>,
+    /// Service groups whose batches carry a mark by which a repeat is known.
+    pub referenced: Vec<bool>,
+    /// When to come back, for what the front itself pushes back.
+    pub come_back: Option<Span>,
     /// A connection to an engine that is not up by then counts as failed.
     pub connect_within: Span,
     pub limits: Limits,
--- a/front/src/wire/rpc.rs
+++ b/front/src/wire/rpc.rs
@@ -7,6 +7,12 @@
 
 /// A message holds a statement and a few fields; what is longer is no message of ours.
 pub const LONGEST: usize = 128 * 1024;
+/// No wait or work of a day and no memory of a terabyte is meant: what is beyond is no figure of ours, and would
+/// only reach an engine that can't use it.
+const MOST_MS: f64 = 86_400_000.0;
+const MOST_MB: f64 = 1_048_576.0;
+/// Hex digits of a request's id, and of a key at most.
+const ID_DIGITS: usize = 16;
 /// Deep enough for every message of the protocol, each value taking up to three steps of the reader; deeper
 /// nesting only costs stack.
 const DEPTH: usize = 16;
@@ -26,6 +32,8 @@
 pub struct Request<'a> {
     pub group: &'a str,
     pub id: &'a str,
+    /// The same as a number.
+    pub number: u64,
     pub customer: &'a str,
     pub wait: Span,
     pub reference: Option<&'a str>,
@@ -95,40 +103,50 @@
     !text.is_empty() && text.len() <= longest && text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
 }
 
-fn positive(text: &str) -> Option<f64> {
-    text.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0)
+/// Digits alone: a number's own reader takes signs as well.
+fn hex(text: &str) -> Option<u64> {
+    let digits = text.len() <= ID_DIGITS && text.bytes().all(|b| b.is_ascii_hexdigit());
+    u64::from_str_radix(text, 16).ok().filter(|_| digits)
+}
+
+fn figure(text: &str, most: f64) -> Option<f64> {
+    text.parse::<f64>().ok().filter(|n| (0.0..=most).contains(n))
 }
 
 fn request<'a>(group: &'a str, params: &[ValueRef<'a>]) -> Result<Request<'a>, Malformed> {
     let [ValueRef::Map(fields), body] = params else { return Err("wanted fields and a body") };
-    let statement = match body {
-        ValueRef::Binary(b) => *b,
-        other => text(other).ok_or("body is no bin")?.as_bytes(),
+    let ValueRef::Binary(statement) = body else { return Err("body is no bin") };
+    // A field that is there in another form is no field that was left out.
+    let field = |name: &str, why: Malformed| match fields.iter().find(|(k, _)| text(k) == Some(name)) {
+        None => Ok(None),
+        Some((_, value)) => text(value).map(Some).ok_or(why),
     };
-    let field = |name: &str| fields.iter().find(|(k, _)| text(k) == Some(name)).and_then(|(_, v)| text(v));
-    let id = field("req").filter(|id| plain(id, 64)).ok_or("req is missing or unusable")?;
-    let wait = field("timeout").and_then(positive).ok_or("timeout is missing or unusable")?;
-    let reference = field("opkey");
+    let bad_id = "req is missing or unusable";
+    let id = field("req", bad_id)?.ok_or(bad_id)?;
+    let number = hex(id).filter(|_| id.len() == ID_DIGITS).ok_or(bad_id)?;
+    let bad_wait = "timeout is missing or unusable";
+    let wait = field("timeout", bad_wait)?.and_then(|t| figure(t, MOST_MS)).filter(|ms| *ms >= 1.0);
+    let bad_reference = "opkey is unusable";
+    let reference = field("opkey", bad_reference)?;
     if reference.is_some_and(|r| !plain(r, 128)) {
-        return Err("opkey is unusable");
+        return Err(bad_reference);
     }
-    let key = match field("subject") {
-        None => None,
-        Some(s) => Some(u64::from_str_radix(s, 16).map_err(|_| "subject is unusable")?),
-    };
-    let hint = |name, why| match field(name) {
-        None => Ok(None),
-        Some(text) => positive(text).map(Some).ok_or(why),
+    let bad_key = "subject is unusable";
+    let key = field("subject", bad_key)?.map(|s| hex(s).ok_or(bad_key)).transpose()?;
+    let hint = |name, most, why| {
+        let said = field(name, why)?.map(|text| figure(text, most).ok_or(why)).transpose()?;
+        Ok::<_, Malformed>(said.filter(|n| *n > 0.0))
     };
     Ok(Request {
         group,
         id,
-        customer: field("owner").unwrap_or(""),
-        wait: Span::from_secs(wait / 1e3),
+        number,
+        customer: field("owner", "owner is unusable")?.unwrap_or(""),
+        wait: Span::from_secs(wait.ok_or(bad_wait)? / 1e3),
         reference,
         key,
-        work: hint("ms", "ms is unusable")?.filter(|n| *n > 0.0).map(|n| Span::from_secs(n / 1e3)),
-        memory_mb: hint("est_mb", "est_mb is unusable")?.filter(|n| *n > 0.0),
+        work: hint("ms", MOST_MS, "ms is unusable")?.map(|n| Span::from_secs(n / 1e3)),
+        memory_mb: hint("est_mb", MOST_MB, "est_mb is unusable")?,
         statement,
     })
 }
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -16,6 +16,15 @@
     vec![("req", id), ("timeout", wait), ("owner", "acme"), ("ms", "10"), ("est_mb", "5")]
 }
 
+/// As clients word batches of this service group: loads carry a mark and a key.
+fn of<'a>(group: &str, id: &'a str, wait: &'a str) -> Vec<(&'a str, &'a str)> {
+    let mut fields = fields(id, wait);
+    if group == "load" {
+        fields.extend([("opkey", id), ("subject", "00000000000000ab")]);
+    }
+    fields
+}
+
 fn engine(act: Act) -> Engine {
     Engine::start("127.0.0.1:0", move |_| act.clone()).unwrap()
 }
@@ -52,7 +61,7 @@
         let engine = engine(act.clone());
         let front = Front::start(Some(engine.address));
         let mut client = front.client();
-        let sent = client.send(group, &fields(ID, "20000"), "select 1").unwrap();
+        let sent = client.send(group, &of(group, ID, "20000"), "select 1").unwrap();
         assert_eq!(client.answer().unwrap(), (sent, expected), "{act:?} for {group}");
         let started = engine.seen().started;
         assert!(times == 0 || started.len() == times, "{act:?} for {group}: started {}", started.len());
@@ -68,7 +77,7 @@
     let front = Front::start(Some(nobody.address));
     let mut client = front.client();
     for group in ["once", "load", "look"] {
-        let sent = client.send(group, &fields(ID, "5000"), "").unwrap();
+        let sent = client.send(group, &of(group, ID, "5000"), "").unwrap();
         let pushed_back = Answer::Error("Rejected".into(), Some("500".into()));
         assert_eq!(client.answer().unwrap(), (sent, pushed_back), "{group}");
     }
@@ -80,7 +89,7 @@
         let engine = TcpListener::bind("127.0.0.1:0").unwrap();
         let front = Front::start(Some(engine.local_addr().unwrap()));
         let mut client = front.client();
-        client.send(group, &fields(ID, "20000"), "").unwrap();
+        client.send(group, &of(group, ID, "20000"), "").unwrap();
         // It dies with the call in its hands, and nobody listens there any more.
         let (mut stream, _) = engine.accept().unwrap();
         assert!(stream.read(&mut [0; 1024]).unwrap() > 0);
@@ -95,10 +104,10 @@
     let engine = engine(Act::Serve(FOREVER, pages(&[""])));
     let front = Front::start(Some(engine.address));
     let mut client = front.client();
-    for (group, id, name) in
-        [("look", "aa", "Rejected"), ("once", "bb", "Errored"), ("load", "cc", "Rejected")]
-    {
-        client.send(group, &fields(id, "700"), "").unwrap();
+    let cases = [("look", "aaaa", "Rejected"), ("once", "bbbb", "Errored"), ("load", "cccc", "Rejected")];
+    for (group, id, name) in cases {
+        let id = &id.repeat(4);
+        client.send(group, &of(group, id, "700"), "").unwrap();
         assert!(matches!(client.answer().unwrap().1, Answer::Error(n, _) if n == name), "{group}");
         until_seen(&engine, "the query to be given up", |s| s.given_up.contains(&id.to_owned()));
     }
@@ -109,7 +118,7 @@
     let engine = engine(Act::Serve(FOREVER, pages(&[""])));
     let front = Front::start(Some(engine.address));
     let mut client = front.client();
-    let sent = client.send("load", &fields(ID, "20000"), "").unwrap();
+    let sent = client.send("load", &of("load", ID, "20000"), "").unwrap();
     until_seen(&engine, "the query to start", |s| s.started.len() == 1);
     client.abort(sent).unwrap();
     client.abort(77).unwrap();
@@ -137,9 +146,7 @@
     let mut client = front.client();
     let ids: Vec<String> = (0..6).map(|n| format!("{n:016x}")).collect();
     for id in &ids {
-        let mut fields = fields(id, "20000");
-        fields.extend([("subject", "00000000000000ab"), ("opkey", id)]);
-        client.send("load", &fields, "").unwrap();
+        client.send("load", &of("load", id, "20000"), "").unwrap();
     }
     for wanted in 1..=6 {
         assert_eq!(client.answer().unwrap(), (wanted, rows("ok\n")));
@@ -154,11 +161,8 @@
     let front = Front::start(Some(engine.address));
     let mut client = front.client();
     // Clients hold batches of one key apart by up to 250 ms, and count that time.
-    for (group, key, most) in [("load", Some("00000000000000ab"), 20_000 - 310), ("look", None, 20_000 - 60)]
-    {
-        let mut fields = fields(ID, "20000");
-        fields.extend(key.map(|key| ("subject", key)));
-        client.send(group, &fields, "").unwrap();
+    for (group, most) in [("load", 20_000 - 310), ("look", 20_000 - 60)] {
+        client.send(group, &of(group, ID, "20000"), "").unwrap();
         assert_eq!(client.answer().unwrap().1, rows("ok\n"));
         let patience: u64 = engine.seen().started.last().unwrap().head["x-patience"].parse().unwrap();
         assert!(patience <= most, "{group}: {patience} ms");
@@ -240,18 +244,39 @@
     }
 }
 
+/// Guards against what no engine can use either: it would answer with an error and be blamed for it.
 #[test]
-fn what_cannot_be_used_is_answered_with_an_error() {
-    let front = Front::start(None);
+fn what_cannot_be_used_is_answered_with_an_error_and_sent_to_no_engine() {
+    let engine = engine(Act::Serve(Duration::from_millis(300), pages(&["ok\n"])));
+    let front = Front::start(Some(engine.address));
     let mut client = front.client();
-    for (group, id, wait) in [("nothing", ID, "100"), ("look", "a b", "100"), ("look", ID, "soon")] {
-        let sent = client.send(group, &fields(id, wait), "").unwrap();
-        assert_eq!(
-            client.answer().unwrap(),
-            (sent, Answer::Error("Errored".into(), None)),
-            "{group} {id} {wait}"
-        );
+    let errored = Answer::Error("Errored".into(), None);
+    // The service group, and the one field that is changed or, without a value, left out.
+    let cases = [
+        ("nothing", ("req", Some(ID))),
+        ("look", ("req", Some("a b"))),
+        ("look", ("req", Some("9b1f03aa"))),
+        ("look", ("timeout", Some("soon"))),
+        ("look", ("timeout", Some("1e300"))),
+        ("look", ("owner", Some("nobody"))),
+        ("look", ("est_mb", Some("-5"))),
+        ("load", ("opkey", None)),
+        ("load", ("subject", None)),
+    ];
+    for (group, (name, value)) in cases {
+        let mut fields = of(group, ID, "20000");
+        fields.retain(|(n, _)| *n != name);
+        fields.extend(value.map(|v| (name, v)));
+        let sent = client.send(group, &fields, "").unwrap();
+        assert_eq!(client.answer().unwrap(), (sent, errored.clone()), "{group} {name} {value:?}");
     }
+    // An id that is in hand, with another statement: only the first one counts.
+    let first = client.send("look", &fields(ID, "20000"), "first").unwrap();
+    let second = client.send("look", &fields(ID, "20000"), "second").unwrap();
+    assert_eq!(client.answer().unwrap(), (second, errored));
+    assert_eq!(client.answer().unwrap(), (first, rows("ok\n")));
+    let statements: Vec<_> = engine.seen().started.into_iter().map(|c| c.statement).collect();
+    assert_eq!(statements, [b"first"]);
 }
 
 #[test]
@@ -262,7 +287,7 @@
     for n in 0..33 {
         client.send("look", &fields(&format!("{n:016x}"), "20000"), "").unwrap();
     }
-    assert_eq!(client.answer().unwrap(), (33, Answer::Error("Rejected".into(), None)));
+    assert_eq!(client.answer().unwrap(), (33, Answer::Error("Rejected".into(), Some("500".into()))));
 }
 
 #[test]
@@ -365,7 +390,7 @@
     client.send("look", &fields(ID, "25000"), "").unwrap();
     until_seen(&engine, "the query to start", |s| s.started.len() == 1);
     front.signal("-STOP");
-    client.send("once", &fields("aa", "25000"), "").unwrap();
+    client.send("once", &fields("aaaaaaaaaaaaaaaa", "25000"), "").unwrap();
     front.signal("-CONT");
     let mut answers: Vec<_> = (0..2).map(|_| client.answer().unwrap()).collect();
     answers.sort_by_key(|(id, _)| *id);
@@ -381,14 +406,14 @@
     .unwrap();
     let mut front = Front::start(Some(slow.address));
     let mut client = front.client();
-    let held = client.send("once", &fields("aa", "25000"), "").unwrap();
+    let held = client.send("once", &fields("aaaaaaaaaaaaaaaa", "25000"), "").unwrap();
     let mut waiting = front.client();
-    let long = waiting.send("once", &fields("bb", "25000"), "long").unwrap();
+    let long = waiting.send("once", &fields("bbbbbbbbbbbbbbbb", "25000"), "long").unwrap();
     until_seen(&slow, "both to start", |s| s.started.len() == 2);
     front.signal("-TERM");
     front.log.wait_for("told to stop");
     let mut late = front.client();
-    let after = late.send("once", &fields("cc", "25000"), "").unwrap();
+    let after = late.send("once", &fields("cccccccccccccccc", "25000"), "").unwrap();
     assert_eq!(late.answer().unwrap(), (after, rows("ok\n")), "came after the signal");
     assert_eq!(client.answer().unwrap(), (held, rows("ok\n")), "was in hand");
     assert_eq!(waiting.answer().unwrap(), (long, Answer::Error("Errored".into(), None)), "outlasts the end");
