A key rests while what was sent may still run or come to its engine

Ruled out: a batch handed over twice by its index (indices of engines and batches are used again only with nothing out), calling off (waits for the engine, or 2 s).

The final answer still leaves at once.

--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -128,6 +128,7 @@
                     outcome,
                     took: Span::from_micros(u64::from(rtt)),
                     over: ended,
+                    runs_on: Span::ZERO,
                     work: told.then(|| Span::from_millis(u64::from(used >> 12))),
                     report: front.report(&values(&mut r)?),
                 };
--- a/front/src/batch.rs
+++ b/front/src/batch.rs
@@ -1,7 +1,7 @@
 //! A batch in hand: one coroutine each. It asks the facade where to go, has one dispatch after the other made,
 //! and reports each outcome, until the batch is over.
 
-use crate::dispatch::{self, Trip};
+use crate::dispatch::{self, Ended, Trip};
 use crate::state::State;
 use crate::state::peer::Peer;
 use crate::wire::rpc;
@@ -51,7 +51,8 @@
         match place {
             Place::Send(to) => {
                 let trip = Trip::new(state, task, b, number, to);
-                let (outcome, rows, report) = trip.as_ref().map_or_else(dispatch::unsent, Trip::make);
+                let Ended { outcome, rows, report, runs_on } =
+                    trip.as_ref().map_or_else(dispatch::unsent, Trip::make);
                 state.counters.outcome(task.group, outcome);
                 let returned = outcome == Outcome::Returned;
                 if returned {
@@ -59,7 +60,7 @@
                 }
                 let over = returned || state.facade.left(b).is_some();
                 let took = trip.map_or(Span::ZERO, |trip| state.clock.now().since(trip.sent));
-                let told = Answer { outcome, took, over, work: None, report };
+                let told = Answer { outcome, took, over, runs_on, work: None, report };
                 if state.facade.report(b, number, &told) == Next::Over {
                     return;
                 }
--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -17,6 +17,8 @@
 
 /// Clients close what is idle after 4 s; what some keep beyond that for good costs others their place.
 pub const QUIET: Span = Span::from_millis(5_000);
+/// Answers that wait unread for so long have no reader; who only stands still for a while is owed them.
+const NOT_READ: Span = Span::from_millis(10_000);
 /// A message that has begun, or the first one of a connection, is whole by then: against those that connect and
 /// say nothing, or stop half way, and hold a descriptor.
 pub const WHOLE_WITHIN: Span = Span::from_millis(2_000);
@@ -134,13 +136,12 @@
         if peer.is_to_go() {
             return Reason::RoomNeeded;
         }
-        if now.since(peer.quiet_since()) >= QUIET {
-            if peer.has_unread() {
-                return Reason::NotRead;
-            }
-            if peer.is_idle() {
-                return Reason::Quiet;
-            }
+        let quiet = now.since(peer.quiet_since());
+        if quiet >= NOT_READ && peer.has_unread() {
+            return Reason::NotRead;
+        }
+        if quiet >= QUIET && peer.is_idle() {
+            return Reason::Quiet;
         }
         if state.is_done() && peer.is_idle() {
             return Reason::Stopped;
--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -18,7 +18,8 @@
 const NEWS_WITHIN: Span = Span::from_millis(350);
 /// Nothing is held back of a page.
 const PAGE_WITHIN: Span = Span::from_millis(200);
-const FORGOTTEN_AFTER: Span = Span::from_millis(2000);
+/// An engine gives up what was not asked for in 2 s; the rest is for its own clock and the way there.
+const FORGOTTEN_AFTER: Span = Span::from_millis(2150);
 const PAUSE: Span = Span::from_millis(20);
 /// A dispatch that finds all descriptors in use is better told so at once.
 const SEAT_WITHIN: Span = Span::from_millis(20);
@@ -29,8 +30,15 @@
 const PAGE_TRIES: usize = 4;
 const MOST_PAGES: u32 = 64;
 
-/// The outcome, the rows of a good one, and the engine's load report.
-pub type Ended = (Outcome, Vec<u8>, Report);
+/// What a dispatch came to.
+pub struct Ended {
+    pub outcome: Outcome,
+    /// Of a good one.
+    pub rows: Vec<u8>,
+    pub report: Report,
+    /// How long it may still run there, or start there, unasked for.
+    pub runs_on: Span,
+}
 
 /// Of an engine that is no longer known.
 pub fn unsent() -> Ended {
@@ -38,7 +46,7 @@
 }
 
 fn ended(outcome: Outcome) -> Ended {
-    (outcome, Vec::new(), Report::default())
+    Ended { outcome, rows: Vec::new(), report: Report::default(), runs_on: Span::ZERO }
 }
 
 /// What a look around between two calls found.
@@ -160,7 +168,9 @@
                     let declined = reply.declined && matches!(reply.status, 503 | 504);
                     self.keep(link, reply.closes).into_iter().for_each(|l| self.done(l));
                     let outcome = if declined { Outcome::Full } else { Outcome::Errored };
-                    return (outcome, Vec::new(), reply.report);
+                    // A call whose connection was cut may reach the engine after this one.
+                    let runs_on = if faults > 0 && !declined { FORGOTTEN_AFTER } else { Span::ZERO };
+                    return Ended { report: reply.report, runs_on, ..ended(outcome) };
                 }
                 Err(_) => {
                     drop(link.take());
@@ -225,7 +235,7 @@
         if pages > MOST_PAGES {
             warn!(self.state.log, "result of {} pages is passed over", pages);
             drop(link.take());
-            return (Outcome::Errored, Vec::new(), report);
+            return Ended { report, ..ended(Outcome::Errored) };
         }
         link = self.keep(link, first.closes);
         let mut rows = first.body;
@@ -236,12 +246,12 @@
                     drop(link.take());
                     let late = self.state.clock.now() >= self.until();
                     let outcome = if late { Outcome::TimedOut } else { Outcome::Errored };
-                    return (outcome, Vec::new(), report);
+                    return Ended { report, ..ended(outcome) };
                 }
             }
         }
         link.take().into_iter().for_each(|l| self.done(l));
-        (Outcome::Returned, rows, report)
+        Ended { rows, report, ..ended(Outcome::Returned) }
     }
 
     fn page(&self, link: &mut Option<Link>, number: u32) -> Option<Vec<u8>> {
@@ -294,8 +304,11 @@
                     return ended(outcome);
                 }
             }
-            if self.state.clock.now() >= until {
-                return ended(outcome);
+            let now = self.state.clock.now();
+            if now >= until {
+                // It was asked for until this began, at the latest.
+                let runs_on = FORGOTTEN_AFTER.saturating_sub(now.since(began));
+                return Ended { runs_on, ..ended(outcome) };
             }
             may::coroutine::sleep(wait(PAUSE));
         }
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -4,9 +4,10 @@
 use larchfall_toy::board::{Board, Listed, frame};
 use larchfall_toy::client::{Answer, Client, request};
 use larchfall_toy::engine::{Act, Engine};
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpListener;
-use std::time::Duration;
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
 
 const NOW: Duration = Duration::ZERO;
 const FOREVER: Duration = Duration::from_secs(600);
@@ -155,6 +156,52 @@
     assert_eq!(order, ids);
 }
 
+/// Guards against the next batch of a key beside one that no engine was told to stop, or whose cut call may still
+/// come to the engine: neither is over before the engine gives it up for not being asked after.
+#[test]
+fn a_key_rests_while_what_was_sent_may_still_run() {
+    let id = |n: usize| format!("{n:016x}");
+    // What the engine says to the first call, cut off then; whether later calls have a reply; the answer.
+    for (replies, time) in [(false, "900"), (true, "20000")] {
+        let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+        let front = Front::start(Some(engine.local_addr().unwrap()));
+        let (posts, came) = mpsc::channel();
+        std::thread::spawn(move || {
+            for stream in engine.incoming().flatten() {
+                let posts = posts.clone();
+                std::thread::spawn(move || {
+                    let (mut stream, mut bytes) = (stream, [0; 2048]);
+                    while let Ok(n @ 1..) = stream.read(&mut bytes) {
+                        let call = String::from_utf8_lossy(&bytes[..n]).into_owned();
+                        if call.starts_with("POST") {
+                            posts.send(Instant::now()).unwrap();
+                            return;
+                        }
+                        if replies {
+                            // Known no more.
+                            let unknown = b"HTTP/1.1 500 Unknown\r\nContent-Length: 0\r\n\r\n";
+                            stream.write_all(unknown).unwrap();
+                        }
+                    }
+                });
+            }
+        });
+        let mut client = front.client();
+        client.send("load", &of("load", &id(1), time), "").unwrap();
+        let first = came.recv().unwrap();
+        client.send("load", &of("load", &id(2), "25000"), "").unwrap();
+        // The first one's own further dispatches have their turn; the second one's has not.
+        let next = wait_for("the next dispatch", || came.recv().ok());
+        assert!(replies || next - first > Duration::from_millis(2000), "{:?} after", next - first);
+        if replies {
+            assert_eq!(client.answer().unwrap().0, 1);
+            let after = came.try_iter().last().unwrap_or(next);
+            let second = came.recv().unwrap();
+            assert!(second - after > Duration::from_millis(2000), "{:?} after", second - after);
+        }
+    }
+}
+
 #[test]
 fn the_way_and_what_clients_hold_back_are_left_off_the_time_limit() {
     let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -155,6 +155,8 @@
     pub took: Span,
     /// Set once the batch is over, by this outcome or before it.
     pub over: bool,
+    /// How long the dispatch may still run, or even start, where nobody could be told to stop it.
+    pub runs_on: Span,
     /// The work that the batch needed, where answers tell.
     pub work: Option<Span>,
     pub report: Report,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -669,8 +669,8 @@
         let goal = late_after(group, answer.work.map(|w| w.secs()).or(held.work));
         held.over |= answer.over;
         let unsure = matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff);
-        if let Some(key) = held.batch.key.filter(|_| unsure) {
-            self.keys.unsure(key, now + self.keys.quiet);
+        if let Some(key) = held.batch.key.filter(|_| unsure || answer.runs_on > Span::ZERO) {
+            self.keys.unsure(key, now + self.keys.quiet + answer.runs_on);
         }
         let Some(engine) = self.engines[out.engine].as_mut() else { return Next::Over };
         if !proves_not_run(answer.outcome) && held.may_have_run.is_none_or(|(_, at)| out.sent < at) {
--- a/src/time.rs
+++ b/src/time.rs
@@ -37,6 +37,9 @@
     pub const fn micros(self) -> u64 {
         self.0
     }
+    pub const fn saturating_sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
     pub fn secs(self) -> f64 {
         self.0 as f64 / 1e6
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -150,6 +150,7 @@
             outcome,
             took: Span::from_millis(took_ms),
             over: outcome == Outcome::Returned,
+            runs_on: Span::ZERO,
             work: None,
             report,
         };
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -400,7 +400,8 @@
             let (took, busy) = if d.engine == 0 { (took, busy) } else { (100, busy.map(|_| 0.5)) };
             let (took, work) = (Span::from_millis(took), Some(Span::from_millis(100)));
             let report = Report { in_hand: None, busy };
-            let answer = Answer { outcome: Outcome::Returned, took, over: true, work, report };
+            let answer =
+                Answer { outcome: Outcome::Returned, took, over: true, runs_on: Span::ZERO, work, report };
             front.policy.after(ms(at) + took, b, 0, &answer);
             front.policy.tick(ms(at + 900));
         }
