An end that the engine has not said itself lets the key rest; a lost page is told to it

Now refused, unheard and unknown ends say that the dispatch may run on, and only a 204 says that it was given up. A result whose page is lost is given up at its engine too. The test fails without it.

--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::wire::http::{self, Reply, Start};
 use larchfall::interface::{Dispatch, Note, Outcome, Place, Report};
 use larchfall::time::{At, Span};
-use slog::warn;
+use slog::{info, warn};
 use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +17,7 @@
 /// hangs, and another is opened: a result that is there waits meanwhile, and its engine looks slow.
 const NEWS_WITHIN: Span = Span::from_millis(350);
 /// Nothing is held back of a page.
-const PAGE_WITHIN: Span = Span::from_millis(200);
+const PAGE_WITHIN: Span = Span::from_millis(300);
 /// An engine gives up what was not asked for in 2 s; the rest is for its own clock and the way there.
 const FORGOTTEN_AFTER: Span = Span::from_millis(2150);
 const PAUSE: Span = Span::from_millis(20);
@@ -169,8 +169,12 @@
                     self.keep(link, reply.closes).into_iter().for_each(|l| self.done(l));
                     let outcome = if declined { Outcome::Full } else { Outcome::Errored };
                     // A call whose connection was cut may reach the engine after this one.
-                    let runs_on = if faults > 0 && !declined { FORGOTTEN_AFTER } else { Span::ZERO };
-                    return Ended { report: reply.report, runs_on, ..ended(outcome) };
+                    let end = if faults > 0 && !declined {
+                        self.unseen(FORGOTTEN_AFTER, "unknown after a cut", outcome)
+                    } else {
+                        ended(outcome)
+                    };
+                    return Ended { report: reply.report, ..end };
                 }
                 Err(_) => {
                     drop(link.take());
@@ -198,8 +202,8 @@
             if link.is_none() {
                 link = match self.link(self.until()) {
                     Ok(link) => Some(link),
-                    // Whoever ran there is gone, and what it ran with it.
-                    Err(NoLink::Refused) => return ended(Outcome::Reset),
+                    // Whoever ran there is gone, and what it ran with it, unless it only takes no more in.
+                    Err(NoLink::Refused) => return self.unseen(FORGOTTEN_AFTER, "refused", Outcome::Reset),
                     Err(NoLink::Silent) => {
                         news = Err(Fault::Late);
                         continue;
@@ -234,8 +238,7 @@
         let pages = first.pages.unwrap_or(1);
         if pages > MOST_PAGES {
             warn!(self.state.log, "result of {} pages is passed over", pages);
-            drop(link.take());
-            return Ended { report, ..ended(Outcome::Errored) };
+            return self.lose(link, Outcome::Errored, report);
         }
         link = self.keep(link, first.closes);
         let mut rows = first.body;
@@ -243,10 +246,10 @@
             match self.page(&mut link, number) {
                 Some(page) => rows.extend_from_slice(&page),
                 None => {
-                    drop(link.take());
                     let late = self.state.clock.now() >= self.until();
                     let outcome = if late { Outcome::TimedOut } else { Outcome::Errored };
-                    return Ended { report, ..ended(outcome) };
+                    warn!(self.state.log, "page lost"; "id" => &self.task.id, "page" => number, "late" => late);
+                    return self.lose(link, outcome, report);
                 }
             }
         }
@@ -254,6 +257,24 @@
         Ended { rows, report, ..ended(Outcome::Returned) }
     }
 
+    /// An end that the engine itself has not said: it may run on for so long.
+    fn unseen(&self, runs_on: Span, why: &str, outcome: Outcome) -> Ended {
+        if self.task.in_order {
+            info!(self.state.log, "end not seen: {}", why; "id" => &self.task.id, "dispatch" => self.number,
+                "engine" => self.to.engine, "address" => self.home.address.to_string());
+        }
+        Ended { runs_on, ..ended(outcome) }
+    }
+
+    /// The engine keeps what was not fetched, and counts the query as out until it is told.
+    fn lose(&self, link: Option<Link>, outcome: Outcome, report: Report) -> Ended {
+        if self.task.in_order {
+            return Ended { report, ..self.give_up(link, GIVE_UP_WITHIN, outcome) };
+        }
+        self.give_up_beside(link);
+        Ended { report, ..ended(outcome) }
+    }
+
     fn page(&self, link: &mut Option<Link>, number: u32) -> Option<Vec<u8>> {
         let ask = http::page(self.home.address, &self.task.id, number);
         for _ in 0..PAGE_TRIES {
@@ -289,26 +310,29 @@
             if link.is_none() {
                 link = match self.link(until) {
                     Ok(link) => Some(link),
-                    Err(NoLink::Refused) => return ended(outcome),
+                    Err(NoLink::Refused) => return self.unseen(FORGOTTEN_AFTER, "refused", outcome),
                     Err(NoLink::Silent) => None,
                 };
             }
             if let Some(mut open) = link.take() {
                 let by = until.min(self.state.clock.now() + NEWS_WITHIN);
                 let reply = open.call(&ask, &self.state.clock, by);
-                let good = matches!(&reply, Ok(r) if !r.closes);
-                if good {
-                    self.done(open);
-                }
-                if reply.is_ok() {
-                    return ended(outcome);
+                if let Ok(reply) = reply {
+                    self.keep(Some(open), reply.closes).into_iter().for_each(|l| self.done(l));
+                    // Anything else does not say that it stops.
+                    if reply.status == 204 {
+                        return ended(outcome);
+                    }
                 }
             }
             let now = self.state.clock.now();
             if now >= until {
                 // It was asked for until this began, at the latest.
-                let runs_on = FORGOTTEN_AFTER.saturating_sub(now.since(began));
-                return Ended { runs_on, ..ended(outcome) };
+                return self.unseen(
+                    FORGOTTEN_AFTER.saturating_sub(now.since(began)),
+                    "not told to stop",
+                    outcome,
+                );
             }
             may::coroutine::sleep(wait(PAUSE));
         }
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -202,6 +202,24 @@
     }
 }
 
+/// Guards against taking a refused connection for the end of what runs there: an engine about to go takes no
+/// more in, and its query still counts as out.
+#[test]
+fn a_key_rests_after_an_engine_that_refuses_connections() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let front = Front::start(Some(engine.local_addr().unwrap()));
+    let mut client = front.client();
+    client.send("load", &of("load", "00000000000000a1", "20000"), "").unwrap();
+    let (mut stream, _) = engine.accept().unwrap();
+    assert!(stream.read(&mut [0; 2048]).unwrap() > 0);
+    client.send("load", &of("load", "00000000000000a2", "25000"), "").unwrap();
+    let cut = Instant::now();
+    drop((engine, stream));
+    let answers = [client.answer().unwrap().0, client.answer().unwrap().0];
+    assert_eq!(answers, [1, 2]);
+    assert!(cut.elapsed() > Duration::from_millis(2000), "{:?} after", cut.elapsed());
+}
+
 #[test]
 fn the_way_and_what_clients_hold_back_are_left_off_the_time_limit() {
     let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
