Giving a connection back, and an end that was never sent, each in one piece

Read over the whole change: three places unwrapped a kept connection before giving it back (now done() takes what is left of one), unsent() repeated ended(), and stop.rs subtracted spans by their microseconds beside Span::saturating_sub.

--- a/front/src/batch.rs
+++ b/front/src/batch.rs
@@ -52,7 +52,7 @@
             Place::Send(to) => {
                 let trip = Trip::new(state, task, b, number, to);
                 let Ended { outcome, rows, report, runs_on } =
-                    trip.as_ref().map_or_else(dispatch::unsent, Trip::make);
+                    trip.as_ref().map_or_else(|| dispatch::ended(Outcome::Moot), Trip::make);
                 state.counters.outcome(task.group, outcome);
                 let returned = outcome == Outcome::Returned;
                 if returned {
--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -40,12 +40,7 @@
     pub runs_on: Span,
 }
 
-/// Of an engine that is no longer known.
-pub fn unsent() -> Ended {
-    ended(Outcome::Moot)
-}
-
-fn ended(outcome: Outcome) -> Ended {
+pub fn ended(outcome: Outcome) -> Ended {
     Ended { outcome, rows: Vec::new(), report: Report::default(), runs_on: Span::ZERO }
 }
 
@@ -113,7 +108,7 @@
         };
         if self.state.facade.left(self.b).is_some() {
             // Its client left while it waited for this connection.
-            self.done(link);
+            self.done(Some(link));
             return ended(Outcome::Moot);
         }
         let call = http::start(
@@ -166,7 +161,7 @@
                 Ok(reply) if reply.status == 200 => return self.collect(link, reply),
                 Ok(reply) => {
                     let declined = reply.declined && matches!(reply.status, 503 | 504);
-                    self.keep(link, reply.closes).into_iter().for_each(|l| self.done(l));
+                    self.done(self.keep(link, reply.closes));
                     let outcome = if declined { Outcome::Full } else { Outcome::Errored };
                     // A call whose connection was cut may reach the engine after this one.
                     let end = if faults > 0 && !declined {
@@ -253,7 +248,7 @@
                 }
             }
         }
-        link.take().into_iter().for_each(|l| self.done(l));
+        self.done(link);
         Ended { rows, report, ..ended(Outcome::Returned) }
     }
 
@@ -318,7 +313,7 @@
                 let by = until.min(self.state.clock.now() + NEWS_WITHIN);
                 let reply = open.call(&ask, &self.state.clock, by);
                 if let Ok(reply) = reply {
-                    self.keep(Some(open), reply.closes).into_iter().for_each(|l| self.done(l));
+                    self.done(self.keep(Some(open), reply.closes));
                     // Anything else does not say that it stops.
                     if reply.status == 204 {
                         return ended(outcome);
@@ -364,8 +359,11 @@
         link(self.state, self.to.engine, self.home, until)
     }
 
-    fn done(&self, link: Link) {
-        self.state.pool.keep(self.to.engine, link, self.state.clock.now());
+    /// Gives back what is left of a connection.
+    fn done(&self, link: Option<Link>) {
+        if let Some(link) = link {
+            self.state.pool.keep(self.to.engine, link, self.state.clock.now());
+        }
     }
 
     /// Lets go of a connection that the engine ends, or on which more came than was asked for: the next reply
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -57,7 +57,7 @@
     let _ = term.read(&mut [0]);
     let told = state.clock.now();
     let longest = state.group_limits.iter().max().copied().unwrap_or_default().min(LONGEST_WAIT);
-    let ends = told + Span::from_micros((longest + KILL_AFTER).micros() - LAST_ANSWERS.micros());
+    let ends = told + (longest + KILL_AFTER).saturating_sub(LAST_ANSWERS);
     state.end_at(ends);
     info!(state.log, "told to stop"; "in_hand" => state.facade.in_hand(), "clients" => state.peers.len());
     let killed = ends + LAST_ANSWERS;
