--- a/examples/toy/src/engine.rs
+++ b/examples/toy/src/engine.rs
@@ -98,22 +98,7 @@
         let mut input = BufReader::new(stream.try_clone().ok()?);
         let mut output = stream;
         loop {
-            let mut first = String::new();
-            if input.read_line(&mut first).ok()? == 0 {
-                return None;
-            }
-            let mut words = first.split_whitespace();
-            let (verb, path) = (words.next()?.to_owned(), words.next()?.to_owned());
-            let mut head = HashMap::new();
-            loop {
-                let mut line = String::new();
-                input.read_line(&mut line).ok()?;
-                let Some((name, value)) = line.trim().split_once(':') else { break };
-                head.insert(name.trim().to_ascii_lowercase(), value.trim().to_owned());
-            }
-            let length = head.get("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
-            let mut body = vec![0; length];
-            input.read_exact(&mut body).ok()?;
+            let Asked { verb, path, head, body } = read_call(&mut input)?;
             let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
             match (verb.as_str(), &parts[..]) {
                 ("POST", ["obj"]) => {
@@ -193,7 +178,36 @@
     }
 }
 
-fn reply(status: u16, head: &str, body: &[u8]) -> Vec<u8> {
+/// One call as it came.
+pub(crate) struct Asked {
+    pub verb: String,
+    pub path: String,
+    pub head: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// The next call on a connection; `None` once it has ended.
+pub(crate) fn read_call(input: &mut impl BufRead) -> Option<Asked> {
+    let mut first = String::new();
+    if input.read_line(&mut first).ok()? == 0 {
+        return None;
+    }
+    let mut words = first.split_whitespace();
+    let (verb, path) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let mut head = HashMap::new();
+    loop {
+        let mut line = String::new();
+        input.read_line(&mut line).ok()?;
+        let Some((name, value)) = line.trim().split_once(':') else { break };
+        head.insert(name.trim().to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = head.get("content-length").and_then(|n| n.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    input.read_exact(&mut body).ok()?;
+    Some(Asked { verb, path, head, body })
+}
+
+pub(crate) fn reply(status: u16, head: &str, body: &[u8]) -> Vec<u8> {
     let head = format!("HTTP/1.1 {status} Toy\r\n{head}Content-Length: {}\r\n\r\n", body.len());
     [head.as_bytes(), body].concat()
 }
--- a/examples/toy/src/lib.rs
+++ b/examples/toy/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod board;
 pub mod client;
 pub mod engine;
+pub mod hall;
--- a/front/src/batch.rs
+++ b/front/src/batch.rs
@@ -33,10 +33,9 @@
 impl Drop for Holder<'_> {
     fn drop(&mut self) {
         if std::thread::panicking() {
-            // Guards against a batch without an answer. What is out stays known to the module, so the index
-            // is not used again.
+            // Guards against a batch without an answer, and a key that waits for good for an end nobody sees.
             answer(self.state, self.peer, self.task, &rpc::Answer::Errored("internal error"));
-            return;
+            self.state.facade.lost(self.b);
         }
         self.state.facade.release(self.b);
     }
@@ -51,8 +50,8 @@
         match place {
             Place::Send(to) => {
                 let trip = Trip::new(state, task, b, number, to);
-                let Ended { outcome, rows, report, runs_on } =
-                    trip.as_ref().map_or_else(|| dispatch::ended(Outcome::Moot), Trip::make);
+                let Ended { outcome, rows, report, seen } =
+                    trip.as_ref().map_or_else(|| dispatch::not_sent(Outcome::Moot), Trip::make);
                 state.counters.outcome(task.group, outcome);
                 let returned = outcome == Outcome::Returned;
                 if returned {
@@ -60,7 +59,7 @@
                 }
                 let over = returned || state.facade.left(b).is_some();
                 let took = trip.map_or(Span::ZERO, |trip| state.clock.now().since(trip.sent));
-                let told = Answer { outcome, took, over, runs_on, work: None, report };
+                let told = Answer { outcome, took, over, seen, work: None, report };
                 if state.facade.report(b, number, &told) == Next::Over {
                     return;
                 }
--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -6,7 +6,8 @@
 use crate::state::clock::wait;
 use crate::state::engines::Home;
 use crate::wire::http::{self, Reply, Start};
-use larchfall::interface::{Dispatch, Note, Outcome, Place, Report};
+use larchfall::interface::{Dispatch, Last, Note, Outcome, Place, Report, Seen};
+use larchfall::policy::account::proves_over;
 use larchfall::time::{At, Span};
 use slog::{info, warn};
 use std::cell::Cell;
@@ -18,8 +19,9 @@
 const NEWS_WITHIN: Span = Span::from_millis(350);
 /// Nothing is held back of a page.
 const PAGE_WITHIN: Span = Span::from_millis(300);
-/// An engine gives up what was not asked for in 2 s; the rest is for its own clock and the way there.
-const FORGOTTEN_AFTER: Span = Span::from_millis(2150);
+/// An engine gives up what was not asked for in 2 s. A call that was cut off may be held back there for 250 ms,
+/// and ask all that time; the rest is for its own clock and the way there.
+pub const FORGOTTEN_AFTER: Span = Span::from_millis(2400);
 const PAUSE: Span = Span::from_millis(20);
 /// A dispatch that finds all descriptors in use is better told so at once.
 const SEAT_WITHIN: Span = Span::from_millis(20);
@@ -36,12 +38,13 @@
     /// Of a good one.
     pub rows: Vec<u8>,
     pub report: Report,
-    /// How long it may still run there, or start there, unasked for.
-    pub runs_on: Span,
+    pub seen: Seen,
 }
 
-pub fn ended(outcome: Outcome) -> Ended {
-    Ended { outcome, rows: Vec::new(), report: Report::default(), runs_on: Span::ZERO }
+/// Of which nothing left.
+pub fn not_sent(outcome: Outcome) -> Ended {
+    let seen = Seen { last: Last::NotSent, same: true, asked: At::default() };
+    Ended { outcome, rows: Vec::new(), report: Report::default(), seen }
 }
 
 /// What a look around between two calls found.
@@ -61,6 +64,10 @@
     home: Home,
     pub sent: At,
     seat_passed_on: Cell<bool>,
+    /// When the engine may last have been asked for it: the end of the last such call.
+    asked: Cell<At>,
+    /// Whether the process at the other end of the present connection is known to have this dispatch.
+    same: Cell<bool>,
 }
 
 impl<'a> Trip<'a> {
@@ -74,7 +81,8 @@
     ) -> Option<Trip<'a>> {
         let home = state.facade.home(to.engine)?;
         let (sent, seat_passed_on) = (state.clock.now(), Cell::new(false));
-        Some(Trip { state, task, b, number, to, home, sent, seat_passed_on })
+        let (asked, same) = (Cell::new(sent), Cell::new(true));
+        Some(Trip { state, task, b, number, to, home, sent, seat_passed_on, asked, same })
     }
 
     /// The time-out, or the end of this front when that comes first.
@@ -86,7 +94,7 @@
     /// Without a seat nothing was sent, and that says nothing of the engine.
     pub fn make(&self) -> Ended {
         if !self.state.pool.take_seat(self.to.priority, wait(SEAT_WITHIN)) {
-            return ended(Outcome::Moot);
+            return not_sent(Outcome::Moot);
         }
         let ended = self.seated();
         if !self.seat_passed_on.get() {
@@ -98,7 +106,7 @@
     /// No byte left. What ran out of time before says nothing of the engine.
     fn not_sent(&self, why: NoLink) -> Ended {
         let out_of_time = why == NoLink::Silent && self.state.clock.now() >= self.until();
-        ended(if out_of_time { Outcome::Moot } else { Outcome::ConnectFailed })
+        not_sent(if out_of_time { Outcome::Moot } else { Outcome::ConnectFailed })
     }
 
     fn seated(&self) -> Ended {
@@ -106,10 +114,13 @@
             Ok(link) => link,
             Err(why) => return self.not_sent(why),
         };
-        if self.state.facade.left(self.b).is_some() {
-            // Its client left while it waited for this connection.
+        // Its client left while it waited for this connection, or the list moved its engine: another process may
+        // have the address, of another kind, cold, or with nothing to do with the engine that was picked.
+        if self.state.facade.left(self.b).is_some()
+            || self.state.facade.home(self.to.engine) != Some(self.home)
+        {
             self.done(Some(link));
-            return ended(Outcome::Moot);
+            return not_sent(Outcome::Moot);
         }
         let call = http::start(
             self.home.address,
@@ -137,6 +148,8 @@
                 return self.not_sent(NoLink::Silent);
             }
         }
+        // What comes on the call's own connection is said by the process that has it, or turned it away.
+        self.same.set(true);
         self.follow(link, reply)
     }
 
@@ -144,16 +157,17 @@
     fn follow(&self, link: Link, first: Result<Reply, Fault>) -> Ended {
         let mut link = Some(link);
         let mut news = first;
-        let mut asked = self.sent;
+        let mut began = self.sent;
         let mut faults = 0;
         loop {
             match news {
                 Ok(reply) if reply.status == 202 => {
+                    self.same.set(true);
                     if let Some(note) = reply.note {
                         self.state.facade.note(self.b, self.number, note);
                     }
                     link = self.keep(link, reply.closes);
-                    if reply.note.is_none() && self.state.clock.now().since(asked) < PAUSE {
+                    if reply.note.is_none() && self.state.clock.now().since(began) < PAUSE {
                         // Against an engine that has no news and does not hold the call back.
                         may::coroutine::sleep(wait(PAUSE));
                     }
@@ -163,13 +177,14 @@
                     let declined = reply.declined && matches!(reply.status, 503 | 504);
                     self.done(self.keep(link, reply.closes));
                     let outcome = if declined { Outcome::Full } else { Outcome::Errored };
-                    // A call whose connection was cut may reach the engine after this one.
-                    let end = if faults > 0 && !declined {
-                        self.unseen(FORGOTTEN_AFTER, "unknown after a cut", outcome)
-                    } else {
-                        ended(outcome)
+                    // Where this is no answer to the call itself, whoever answers may not know it yet, or not be
+                    // the process that has it.
+                    let last = match (declined, faults) {
+                        (true, _) => Last::Declined,
+                        (false, 0) => Last::Ended,
+                        (false, _) => Last::Unknown,
                     };
-                    return Ended { report: reply.report, ..end };
+                    return Ended { report: reply.report, ..self.end(last, outcome) };
                 }
                 Err(_) => {
                     drop(link.take());
@@ -191,14 +206,14 @@
                 // No other batch hangs on its end, and the answer is due.
                 Look::TimedOut => {
                     self.give_up_beside(link);
-                    return ended(Outcome::TimedOut);
+                    return self.end(Last::Silent, Outcome::TimedOut);
                 }
             }
             if link.is_none() {
                 link = match self.link(self.until()) {
                     Ok(link) => Some(link),
                     // Whoever ran there is gone, and what it ran with it, unless it only takes no more in.
-                    Err(NoLink::Refused) => return self.unseen(FORGOTTEN_AFTER, "refused", Outcome::Reset),
+                    Err(NoLink::Refused) => return self.end(Last::Refused, Outcome::Reset),
                     Err(NoLink::Silent) => {
                         news = Err(Fault::Late);
                         continue;
@@ -206,7 +221,7 @@
                 };
             }
             let ask = http::page(self.home.address, &self.task.id, 0);
-            asked = self.state.clock.now();
+            began = self.state.clock.now();
             news = match &mut link {
                 Some(link) => self.call(link, &ask, NEWS_WITHIN),
                 None => Err(Fault::Late),
@@ -229,6 +244,8 @@
 
     /// All pages of a result, in order; a page that is lost makes the dispatch errored, never a short answer.
     fn collect(&self, mut link: Option<Link>, first: Reply) -> Ended {
+        // Whoever has the result has the batch.
+        self.same.set(true);
         let report = first.report;
         let pages = first.pages.unwrap_or(1);
         if pages > MOST_PAGES {
@@ -249,16 +266,17 @@
             }
         }
         self.done(link);
-        Ended { rows, report, ..ended(Outcome::Returned) }
+        Ended { rows, report, ..self.end(Last::Ended, Outcome::Returned) }
     }
 
-    /// An end that the engine itself has not said: it may run on for so long.
-    fn unseen(&self, runs_on: Span, why: &str, outcome: Outcome) -> Ended {
-        if self.task.in_order {
-            info!(self.state.log, "end not seen: {}", why; "id" => &self.task.id, "dispatch" => self.number,
+    /// An end with what was last seen of it. What does not prove that nothing runs leaves a line.
+    fn end(&self, last: Last, outcome: Outcome) -> Ended {
+        let seen = Seen { last, same: self.same.get(), asked: self.asked.get() };
+        if self.task.in_order && !proves_over(seen) {
+            info!(self.state.log, "end not seen: {:?}", last; "id" => &self.task.id, "dispatch" => self.number,
                 "engine" => self.to.engine, "address" => self.home.address.to_string());
         }
-        Ended { runs_on, ..ended(outcome) }
+        Ended { outcome, rows: Vec::new(), report: Report::default(), seen }
     }
 
     /// The engine keeps what was not fetched, and counts the query as out until it is told.
@@ -267,7 +285,7 @@
             return Ended { report, ..self.give_up(link, GIVE_UP_WITHIN, outcome) };
         }
         self.give_up_beside(link);
-        Ended { report, ..ended(outcome) }
+        Ended { report, ..self.end(Last::Silent, outcome) }
     }
 
     fn page(&self, link: &mut Option<Link>, number: u32) -> Option<Vec<u8>> {
@@ -305,7 +323,7 @@
             if link.is_none() {
                 link = match self.link(until) {
                     Ok(link) => Some(link),
-                    Err(NoLink::Refused) => return self.unseen(FORGOTTEN_AFTER, "refused", outcome),
+                    Err(NoLink::Refused) => return self.end(Last::Refused, outcome),
                     Err(NoLink::Silent) => None,
                 };
             }
@@ -316,18 +334,13 @@
                     self.done(self.keep(Some(open), reply.closes));
                     // Anything else does not say that it stops.
                     if reply.status == 204 {
-                        return ended(outcome);
+                        return self.end(Last::Stopped, outcome);
                     }
                 }
             }
             let now = self.state.clock.now();
             if now >= until {
-                // It was asked for until this began, at the latest.
-                return self.unseen(
-                    FORGOTTEN_AFTER.saturating_sub(now.since(began)),
-                    "not told to stop",
-                    outcome,
-                );
+                return self.end(Last::Silent, outcome);
             }
             may::coroutine::sleep(wait(PAUSE));
         }
@@ -351,11 +364,14 @@
 
     fn call(&self, link: &mut Link, call: &[u8], within: Span) -> Result<Reply, Fault> {
         let now = self.state.clock.now();
-        link.call(call, &self.state.clock, self.until().min(now + within))
+        let reply = link.call(call, &self.state.clock, self.until().min(now + within));
+        self.asked.set(self.state.clock.now());
+        reply
     }
 
     /// A connection of the pool, or a new one.
     fn link(&self, until: At) -> Result<Link, NoLink> {
+        self.same.set(false);
         link(self.state, self.to.engine, self.home, until)
     }
 
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -2,6 +2,7 @@
 
 use super::config::Config;
 use super::{log, reload, stop};
+use crate::dispatch::FORGOTTEN_AFTER;
 use crate::state::State;
 use crate::state::clock::{Clock, wait};
 use crate::state::counters::Counters;
@@ -10,7 +11,7 @@
 use crate::state::peer::Peers;
 use crate::state::pool::Pool;
 use crate::{board, client, timer};
-use larchfall::interface::Effect;
+use larchfall::interface::{Caps, Effect};
 use larchfall::policy::Policy;
 use larchfall::time::Span;
 use may::net::TcpListener;
@@ -76,7 +77,8 @@
     let in_order = s.groups.iter().map(|g| g.in_order).collect();
     let referenced = s.groups.iter().map(|g| matches!(g.effect, Effect::Referenced { .. })).collect();
     let come_back = s.caps.come_back;
-    let policy = Policy::new(seed, s.fleet, s.groups, s.customers, s.caps, (s.cold, s.key_quiet), s.ration);
+    let caps = Caps { forgets: Some(FORGOTTEN_AFTER), ..s.caps };
+    let policy = Policy::new(seed, s.fleet, s.groups, s.customers, caps, (s.cold, s.key_quiet), s.ration);
     State {
         clock,
         counters: Counters::new(s.names.groups.len()),
--- a/front/src/state/facade.rs
+++ b/front/src/state/facade.rs
@@ -101,6 +101,11 @@
         lock(&self.inner).policy.after(self.clock.now(), b, number, answer)
     }
 
+    /// The coroutine of this batch ended without a word.
+    pub fn lost(&self, b: usize) {
+        lock(&self.inner).policy.lost(self.clock.now(), b);
+    }
+
     /// This front ends then.
     pub fn end_by(&self, at: At) {
         lock(&self.inner).policy.end_by(at);
--- a/front/tests/front/common.rs
+++ b/front/tests/front/common.rs
@@ -31,18 +31,32 @@
 
 /// A configuration; `engine` is known at the start.
 pub fn config(listen: &str, board: SocketAddr, engine: Option<SocketAddr>, sockets: usize) -> String {
-    let known = engine.map_or(String::new(), |address| {
-        format!(
-            r#"{{"instanceId":"s-00000001","hostPort":"{address}","zone":"east","machineType":"std",
+    config_of(listen, board, engine.as_slice(), sockets, &settings())
+}
+
+/// One with these settings; engines are known at the start, under ids from 1 up.
+pub fn config_of(
+    listen: &str,
+    board: SocketAddr,
+    engines: &[SocketAddr],
+    sockets: usize,
+    settings: &str,
+) -> String {
+    let known: Vec<String> = (1..)
+        .zip(engines)
+        .map(|(id, address)| {
+            format!(
+                r#"{{"instanceId":"s-{id:08x}","hostPort":"{address}","zone":"east","machineType":"std",
                 "cell":0,"lifecycle":"up","weight":1,"startedAtMs":0}}"#
-        )
-    });
+            )
+        })
+        .collect();
     format!(
         r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"board":"{board}",
-            "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"generation":1,"reset":true,"instances":[{known}]}}}}]}},
-            "settings":{}}}"#,
-        settings()
+            "known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"generation":1,"reset":true,"instances":[{}]}}}}]}},
+            "settings":{settings}}}"#,
+        known.join(",")
     )
 }
 
@@ -84,11 +98,16 @@
     }
 
     pub fn start_on(listen: &str, board: Board, engine: Option<SocketAddr>, sockets: usize) -> Front {
+        let text = config(listen, board.address, engine, sockets);
+        Front::start_with(board, &text)
+    }
+
+    pub fn start_with(board: Board, text: &str) -> Front {
         let name =
             format!("larchfall-{}-{:?}-{:?}", std::process::id(), thread::current().id(), Instant::now());
         let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '-' }).collect();
         let file = std::env::temp_dir().join(name);
-        std::fs::write(&file, config(listen, board.address, engine, sockets)).unwrap();
+        std::fs::write(&file, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_larchfall"))
             .args(["serve", "--config"])
             .arg(&file)
--- a/front/tests/front/main.rs
+++ b/front/tests/front/main.rs
@@ -4,3 +4,4 @@
 mod common;
 mod memory;
 mod sockets;
+mod together;
--- /dev/null
+++ b/front/tests/front/together.rs
@@ -0,0 +1,265 @@
+//! Troubles that come together: engines replaced at their addresses, calls that are cut and come in late, errors,
+//! clients that leave, and a flood in good form that takes all back. A hall of stand-in engines keeps the ledger
+//! of what really ran; the seed of a run stands in each failure.
+
+use crate::common::{Front, config_of, settings, wait_for};
+use larchfall_toy::board::{Board, Listed, frame};
+use larchfall_toy::client::{Answer, Client};
+use larchfall_toy::hall::{Fate, Hall, Ledger};
+use nanorand::{Rng, WyRand};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const ENGINES: usize = 3;
+const LASTS: Duration = Duration::from_secs(7);
+const FREE: f64 = 2.0;
+const PER_BATCH: f64 = 0.1;
+const WINDOW: Duration = Duration::from_secs(10);
+const GRACE: Duration = Duration::from_secs(2);
+/// Between a statement's end at the engine and the ledger's note of it.
+const SLACK: Duration = Duration::from_millis(5);
+
+/// What a client sent and how it ended, by id.
+#[derive(Clone, Debug, PartialEq)]
+enum End {
+    Answered(Answer),
+    /// The client took it back, or left.
+    Left,
+}
+
+struct Sent {
+    group: &'static str,
+    at: Instant,
+    ends: Vec<End>,
+}
+
+#[derive(Default)]
+struct Clients {
+    sent: Mutex<HashMap<String, Sent>>,
+    flood: Mutex<usize>,
+}
+
+fn fate(chance: &Mutex<WyRand>, statement: &str) -> Fate {
+    let mut chance = chance.lock().unwrap();
+    let ms = |chance: &mut WyRand, from, to| Duration::from_millis(chance.generate_range(from..to));
+    if statement == "flood" {
+        return Fate::Errs(ms(&mut chance, 5, 20));
+    }
+    match chance.generate_range(0..100_u32) {
+        0..12 => Fate::Errs(ms(&mut chance, 1, 30)),
+        12..20 => Fate::Declined,
+        20..30 => Fate::CutAndLate(ms(&mut chance, 20, 140), ms(&mut chance, 100, 900)),
+        30..35 => Fate::Runs(Duration::from_secs(60)),
+        _ => Fate::Runs(ms(&mut chance, 5, 60)),
+    }
+}
+
+/// Sends batches of its own keys, mostly one after the other; leaves some, and some connections.
+fn usual(front: SocketAddr, me: usize, seed: u64, over: &AtomicBool, clients: &Clients) {
+    let mut chance = WyRand::new_seed(seed ^ (me as u64 + 1) << 32);
+    let mut client = Client::connect(front).unwrap();
+    let mut open: BTreeMap<u32, String> = BTreeMap::new();
+    let mut n = 0;
+    let end = |id: &str, end| clients.sent.lock().unwrap().get_mut(id).unwrap().ends.push(end);
+    while !over.load(Ordering::Relaxed) || !open.is_empty() {
+        while open.len() < 6 && !over.load(Ordering::Relaxed) {
+            n += 1;
+            let id = format!("{:08x}{n:08x}", me + 1);
+            let group = ["look", "look", "once", "load"][chance.generate_range(0..4_usize)];
+            let key = format!("{:016x}", me * 2 + n % 2);
+            let fields =
+                [("req", &id[..]), ("timeout", "6000"), ("owner", "acme"), ("ms", "20"), ("est_mb", "5")];
+            let load = [("opkey", &id[..]), ("subject", &key[..])];
+            let fields: Vec<_> =
+                fields.into_iter().chain(load.into_iter().filter(|_| group == "load")).collect();
+            clients
+                .sent
+                .lock()
+                .unwrap()
+                .insert(id.clone(), Sent { group, at: Instant::now(), ends: Vec::new() });
+            let sent = client.send(group, &fields, &format!("{group} {key} {n}")).unwrap();
+            open.insert(sent, id);
+        }
+        match chance.generate_range(0..40_u32) {
+            0 => {
+                // A client that goes, with all that it has open.
+                open.values().for_each(|id| end(id, End::Left));
+                open.clear();
+                client = Client::connect(front).unwrap();
+                continue;
+            }
+            1..4 => {
+                let (sent, id) = open.pop_first().unwrap();
+                client.abort(sent).unwrap();
+                end(&id, End::Left);
+                continue;
+            }
+            _ => {}
+        }
+        let (sent, answer) = client.answer().unwrap();
+        // What was taken back may have been answered before.
+        if let Some(id) = open.remove(&sent) {
+            end(&id, End::Answered(answer));
+        }
+    }
+    // Whatever still comes on this connection is one answer too many.
+    let ping = client.ping().unwrap();
+    loop {
+        match client.answer().unwrap() {
+            (id, Answer::Pong) if id == ping => return,
+            (_, _) => continue,
+        }
+    }
+}
+
+/// Look-ups in good form by the hundred, all taken back at once.
+fn flood(front: SocketAddr, over: &AtomicBool, clients: &Clients) {
+    let mut n = 0;
+    while !over.load(Ordering::Relaxed) {
+        let Ok(mut client) = Client::connect(front) else { continue };
+        for _ in 0..24 {
+            n += 1;
+            let id = format!("f{n:015x}");
+            let fields =
+                [("req", &id[..]), ("timeout", "3000"), ("owner", "acme"), ("ms", "20"), ("est_mb", "5")];
+            let Ok(sent) = client.send("look", &fields, "flood") else { break };
+            if client.abort(sent).is_err() {
+                break;
+            }
+        }
+        *clients.flood.lock().unwrap() = n;
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// One engine after the other drains, closes while it runs on what it has, and another listens at its address.
+fn replace(hall: &mut Hall, board: &Board, over: Instant) -> Vec<(usize, Instant)> {
+    let mut number = 1;
+    // By address: id, state and process.
+    let mut list: Vec<(u32, u8, usize)> = (0..ENGINES).map(|i| (i as u32 + 1, 0, i)).collect();
+    let (mut ids, mut drained) = (ENGINES as u32, Vec::new());
+    let say = |list: &[(u32, u8, usize)], hall: &Hall, number: u64| {
+        let listed: Vec<Listed> = (0..ENGINES)
+            .map(|i| Listed { id: list[i].0, address: hall.address(i), state: list[i].1, zone: 0, kind: 0 })
+            .collect();
+        board.say(number, frame(number, true, &listed));
+    };
+    for round in 0.. {
+        if Instant::now() >= over {
+            break;
+        }
+        let i = round % ENGINES;
+        list[i].1 = 1;
+        number += 1;
+        say(&list, hall, number);
+        drained.push((list[i].2, Instant::now()));
+        thread::sleep(Duration::from_millis(300));
+        hall.close(i);
+        thread::sleep(Duration::from_millis(200));
+        ids += 1;
+        list[i] = (ids, 0, hall.open(i));
+        thread::sleep(Duration::from_millis(200));
+        number += 1;
+        say(&list, hall, number);
+        thread::sleep(Duration::from_millis(300));
+    }
+    drained
+}
+
+fn check(seed: u64, ledger: &Ledger, clients: &Clients, drained: &[(usize, Instant)]) {
+    let sent = clients.sent.lock().unwrap();
+    let mut ran: HashMap<&str, usize> = HashMap::new();
+    ledger.ran.iter().for_each(|r| *ran.entry(&r.id).or_default() += 1);
+    for (id, Sent { group, ends, .. }) in sent.iter() {
+        assert_eq!(ends.len(), 1, "seed {seed}: answers to {id} of {group}: {ends:?}");
+        let times = ran.get(&id[..]).copied().unwrap_or(0);
+        let pushed_back = matches!(&ends[0], End::Answered(Answer::Error(name, _)) if name == "Rejected");
+        assert!(
+            *group != "once" || times <= 1 && !(pushed_back && times > 0),
+            "seed {seed}: {id} ran {times} times and ended {ends:?}"
+        );
+    }
+    // Order and rest: statements of one key, in the order sent, never two at once.
+    let mut keys: BTreeMap<&str, Vec<(usize, Instant, Instant, &str)>> = BTreeMap::new();
+    for r in ledger.ran.iter().filter(|r| r.statement.starts_with("load")) {
+        let words: Vec<&str> = r.statement.split(' ').collect();
+        let until = r.until.expect("all is over");
+        keys.entry(words[1]).or_default().push((words[2].parse().unwrap(), r.from, until, &r.id));
+    }
+    for (key, lines) in &keys {
+        for (n, from, _, id) in lines {
+            for (before, began, until, other) in lines.iter().filter(|l| l.3 != *id && l.1 <= *from) {
+                assert!(before < n, "seed {seed}: key {key}: {id} began after {other}, which was sent later");
+                let early = until.saturating_duration_since(*from);
+                assert!(
+                    early <= SLACK,
+                    "seed {seed}: key {key}: {id} began {early:?} before the end of {other}, begun {:?} earlier",
+                    *from - *began
+                );
+            }
+        }
+    }
+    for (process, at) in drained {
+        let late = ledger.came.iter().find(|c| c.process == *process && c.at > *at + GRACE);
+        assert!(late.is_none(), "seed {seed}: sent to a draining engine: {late:?}");
+    }
+    // In the window that ends with each further dispatch.
+    let mut firsts = HashSet::new();
+    let further: Vec<Instant> = ledger.came.iter().filter(|c| !firsts.insert(&c.id)).map(|c| c.at).collect();
+    for (n, at) in further.iter().enumerate() {
+        let within = |other: &Instant| other <= at && *at - *other < WINDOW;
+        let used = further[..=n].iter().filter(|f| within(f)).count() as f64;
+        let allowed = FREE + PER_BATCH * sent.values().filter(|s| within(&s.at)).count() as f64;
+        assert!(used <= allowed, "seed {seed}: {used} further dispatches in a window, {allowed} allowed");
+    }
+    let further = further.len();
+    println!(
+        "seed {seed}: {} batches, {} of the flood, {} statements ran, {} keys, {further} further dispatches",
+        sent.len(),
+        clients.flood.lock().unwrap(),
+        ledger.ran.len(),
+        keys.len()
+    );
+    assert!(sent.len() > 100 && further > 0 && keys.values().any(|k| k.len() > 5), "seed {seed}: too little");
+}
+
+fn play(seed: u64) {
+    let chance = Mutex::new(WyRand::new_seed(seed));
+    let at: Vec<String> = (0..ENGINES).map(|i| format!("127.0.{}.{}:0", 10 + seed % 200, 1 + i)).collect();
+    let at: Vec<&str> = at.iter().map(String::as_str).collect();
+    let mut hall = Hall::start(&at, move |_, statement| fate(&chance, statement)).unwrap();
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let engines: Vec<SocketAddr> = (0..ENGINES).map(|i| hall.address(i)).collect();
+    let ration = r#""safety":{"budget_free":2.0,"extra_per_request":0.1,"extra_window":10000000,"#;
+    let settings = settings().replace(r#""safety":{"#, ration);
+    let front = Front::start_with(
+        Board::start("127.0.0.1:0").unwrap(),
+        &config_of("127.0.0.1:0", board.address, &engines, 512, &settings),
+    );
+    let (over, clients) = (Arc::new(AtomicBool::new(false)), Arc::new(Clients::default()));
+    let mut threads = Vec::new();
+    for me in 0..4 {
+        let (over, clients, to) = (over.clone(), clients.clone(), front.address);
+        threads.push(thread::spawn(move || usual(to, me, seed, &over, &clients)));
+    }
+    for _ in 0..2 {
+        let (over, clients, to) = (over.clone(), clients.clone(), front.address);
+        threads.push(thread::spawn(move || flood(to, &over, &clients)));
+    }
+    let drained = replace(&mut hall, &board, Instant::now() + LASTS);
+    over.store(true, Ordering::Relaxed);
+    threads.into_iter().for_each(|t| t.join().unwrap());
+    wait_for("all to be over at the engines", || (hall.running() == 0).then_some(()));
+    check(seed, &hall.ledger(), &clients, &drained);
+}
+
+#[test]
+fn rules_hold_under_replaced_engines_cuts_errors_and_a_flood() {
+    for seed in [11, 12, 13, 14] {
+        play(seed);
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -180,6 +180,7 @@
             sets_memory: raw.domain.grants,
             memory_pages: raw.domain.out_of_memory == "swap",
             notes_every: some(raw.domain.note_period),
+            forgets: None,
             clock_step: us(raw.period),
         },
         cold: ColdRule {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -84,6 +84,8 @@
     pub memory_pages: bool,
     /// Time between notes on a dispatch that is out, where there are notes.
     pub notes_every: Option<Span>,
+    /// An engine gives up what it was not asked for in this long; `None` where outcomes leave nothing running.
+    pub forgets: Option<Span>,
     /// Smallest time between two readings of the clock.
     pub clock_step: Span,
 }
@@ -98,7 +100,7 @@
 }
 
 /// Further dispatches in any `window`: `free` plus `per_batch` times the batches taken.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RationRule {
     pub window: Span,
     pub free: f64,
@@ -149,19 +151,57 @@
     Moot,
 }
 
+/// What was last seen of a dispatch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Last {
+    /// No byte of it left.
+    NotSent,
+    /// It was turned away unseen.
+    Declined,
+    /// It was said to be over.
+    Ended,
+    /// It was told to stop, and that was taken in.
+    Stopped,
+    /// Who answered knows no such batch.
+    Unknown,
+    /// Nobody listens at its engine's address.
+    Refused,
+    /// Nobody could be asked or told.
+    Silent,
+    /// Whoever looked after it is gone.
+    Lost,
+}
+
+/// By this alone it is judged what of a dispatch may still run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Seen {
+    pub last: Last,
+    /// Said by the very process that has the batch: on the connection of the call itself, or on one on which it
+    /// had spoken of the batch as its own.
+    pub same: bool,
+    /// When its engine was asked for it last, at the latest.
+    pub asked: At,
+}
+
 #[derive(Clone, Debug)]
 pub struct Answer {
     pub outcome: Outcome,
     pub took: Span,
     /// Set once the batch is over, by this outcome or before it.
     pub over: bool,
-    /// How long the dispatch may still run, or even start, where nobody could be told to stop it.
-    pub runs_on: Span,
+    pub seen: Seen,
     /// The work that the batch needed, where answers tell.
     pub work: Option<Span>,
     pub report: Report,
 }
 
+impl Answer {
+    /// One that tells nothing but how the dispatch ended, and ends its batch.
+    pub fn bare(outcome: Outcome, seen: Seen) -> Answer {
+        Answer { outcome, took: Span::ZERO, over: true, seen, work: None, report: Report::default() }
+    }
+}
+
 /// An engine's load as it says itself, late and noisy: how many batches it holds, how busy its cores are.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,9 +7,14 @@
 
 use crate::interface::*;
 use crate::time::{At, Span};
+use account::Account;
 use nanorand::{Rng, WyRand};
+use ration::Ration;
 use std::collections::{BTreeMap, VecDeque};
 
+pub mod account;
+mod ration;
+
 // Per rank, the highest first: threads added in a calm second, factor of a congested one, priority sent.
 const RANKS: [(f64, f64, u8); 3] = [(1.5, 0.8, 3), (1.0, 0.6, 2), (0.5, 0.4, 1)];
 // Shorter than the page's second, with the steps scaled to it: a jam builds up in less than that.
@@ -203,51 +208,6 @@
     }
 }
 
-/// Rule 7: further dispatches of this front within the ration of any window since its start.
-struct Ration {
-    rule: Option<RationRule>,
-    taken: VecDeque<At>,
-    further: VecDeque<At>,
-}
-
-impl Ration {
-    fn allows(&mut self, now: At) -> bool {
-        let Some(rule) = &self.rule else { return true };
-        for line in [&mut self.taken, &mut self.further] {
-            while line.front().is_some_and(|at| now.since(*at) >= rule.window) {
-                line.pop_front();
-            }
-        }
-        (self.further.len() + 1) as f64 <= rule.free + rule.per_batch * self.taken.len() as f64
-    }
-}
-
-/// Rule 5: batches of one key in the order taken; one leaves its line once over with nothing of it out.
-struct Keys {
-    quiet: Span,
-    lines: BTreeMap<u64, (VecDeque<usize>, At)>,
-}
-
-impl Keys {
-    fn has_turn(&self, key: u64, b: usize, now: At, sent_before: bool) -> bool {
-        let Some((line, rests_until)) = self.lines.get(&key) else { return true };
-        line.front() == Some(&b) && (sent_before || now >= *rests_until)
-    }
-
-    /// After such an outcome the dispatch may still run, so the key rests.
-    fn unsure(&mut self, key: u64, until: At) {
-        if let Some((_, rests_until)) = self.lines.get_mut(&key) {
-            *rests_until = until.max(*rests_until);
-        }
-    }
-
-    fn leave(&mut self, key: u64, b: usize) {
-        if let Some((line, _)) = self.lines.get_mut(&key) {
-            line.retain(|other| *other != b);
-        }
-    }
-}
-
 /// Customers' shares: a bucket each, filled at this front's part of the allowance.
 struct Shares {
     allowances: Vec<f64>,
@@ -453,6 +413,7 @@
 #[derive(Default)]
 struct Held {
     batch: Batch,
+    taken: At,
     work: Option<f64>,
     within_share: bool,
     out: Vec<Out>,
@@ -474,7 +435,7 @@
     caps: Caps,
     cold: ColdRule,
     ration: Ration,
-    keys: Keys,
+    keys: Account,
     usual: Vec<Usual>,
     /// Threads times batches lately, by group: what the first budgets are split by.
     asked: Vec<f64>,
@@ -505,9 +466,9 @@
     group.goal + Span::from_secs(group.goal_stretch * work.unwrap_or(0.0) / group.threads)
 }
 
-/// Rule 2's first question. Whatever else came back, the dispatch may have run.
-fn proves_not_run(outcome: Outcome) -> bool {
-    matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+/// Rule 2's first question. What was cut off and then turned away on another connection may still come in.
+fn proves_not_run(outcome: Outcome, seen: Seen) -> bool {
+    matches!(outcome, Outcome::ConnectFailed | Outcome::Moot) || outcome == Outcome::Full && seen.same
 }
 
 /// Rule 2: a pushback says that trying again is harmless.
@@ -561,10 +522,10 @@
             threads,
             usual: groups.iter().map(Usual::new).collect(),
             shares,
+            keys: Account::new(key_quiet, caps.forgets.unwrap_or_default()),
             caps,
             cold,
-            ration: Ration { rule: ration, taken: VecDeque::new(), further: VecDeque::new() },
-            keys: Keys { quiet: key_quiet, lines: BTreeMap::new() },
+            ration: Ration::new(ration),
             groups,
             engines: Vec::new(),
             batches: Vec::new(),
@@ -613,8 +574,6 @@
     }
 
     pub fn take(&mut self, now: At, b: usize, mut batch: Batch) {
-        self.ration.taken.extend(self.ration.rule.as_ref().map(|_| now));
-        self.ration.allows(now);
         self.taken += 1.0;
         let g = batch.group;
         self.asked.iter_mut().for_each(|asked| *asked *= 0.999);
@@ -622,11 +581,11 @@
         self.usual[g].hint(batch.work);
         batch.key = batch.key.filter(|_| self.groups[g].in_order);
         if let Some(key) = batch.key {
-            self.keys.lines.entry(key).or_default().0.push_back(b);
+            self.keys.take(key, b);
         }
         let work = self.usual[g].work(batch.work);
         let within_share = self.shares.within(batch.customer, self.part(), now);
-        let held = Held { batch, work, within_share, ..Held::default() };
+        let held = Held { batch, taken: now, work, within_share, ..Held::default() };
         if self.batches.len() <= b {
             self.batches.resize_with(b + 1, || None);
         }
@@ -646,8 +605,7 @@
         if now + least >= self.last_moment(held) {
             return self.give_up(b);
         }
-        let has_turn = |key| self.keys.has_turn(key, b, now, held.dispatches > 0);
-        if !held.batch.key.is_none_or(has_turn) {
+        if held.batch.key.is_some_and(|key| !self.keys.has_turn(key, b, now)) {
             return Place::NotYet;
         }
         let spent = held.dispatches >= self.caps.most_dispatches.min(1 + MOST_FURTHER);
@@ -667,13 +625,18 @@
         let out = held.out.remove(i);
         let (g, group) = (held.batch.group, &self.groups[held.batch.group]);
         let goal = late_after(group, answer.work.map(|w| w.secs()).or(held.work));
+        if answer.outcome == Outcome::Returned && !held.over {
+            self.ration.returned(held.taken, now);
+        }
         held.over |= answer.over;
         let unsure = matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff);
-        if let Some(key) = held.batch.key.filter(|_| unsure || answer.runs_on > Span::ZERO) {
-            self.keys.unsure(key, now + self.keys.quiet + answer.runs_on);
+        if let Some(key) = held.batch.key {
+            self.keys.ended(key, b, number, answer.seen, unsure, now);
         }
         let Some(engine) = self.engines[out.engine].as_mut() else { return Next::Over };
-        if !proves_not_run(answer.outcome) && held.may_have_run.is_none_or(|(_, at)| out.sent < at) {
+        if !proves_not_run(answer.outcome, answer.seen)
+            && held.may_have_run.is_none_or(|(_, at)| out.sent < at)
+        {
             held.may_have_run = Some((engine.told, out.sent));
         }
         engine.budgets.running[g] = (engine.budgets.running[g] - self.threads[g]).max(0.0);
@@ -755,6 +718,17 @@
         off
     }
 
+    /// Whoever looked after this batch ended without a word: nothing is known of what is out.
+    pub fn lost(&mut self, now: At, b: usize) {
+        self.end(b);
+        let seen = Seen { last: Last::Lost, same: false, asked: now };
+        let answer = Answer::bare(Outcome::CalledOff, seen);
+        while let Some(Some(number)) = self.batches.get(b).map(|h| h.as_ref()?.out.first().map(|o| o.number))
+        {
+            self.after(now, b, number, &answer);
+        }
+    }
+
     /// The front ends then: what it holds is to have its final answer before.
     pub fn end_by(&mut self, at: At) {
         self.batches.iter_mut().flatten().for_each(|h| h.batch.time_limit = h.batch.time_limit.min(at));
@@ -781,7 +755,7 @@
     }
 
     pub fn tick(&mut self, now: At) {
-        self.keys.lines.retain(|_, (line, rests_until)| !line.is_empty() || *rests_until > now);
+        self.keys.tidy(now);
         // Else calm lets the bounds of all fronts grow to the whole engine, and the next surge stuffs it.
         let most = if self.held_there.1 > 0.0 { (SHARE_ROOM * self.part()).min(1.0) } else { 1.0 };
         let (mut ready, mut congested) = (0.0, 0.0);
@@ -921,7 +895,10 @@
         };
         let g = held.batch.group;
         if held.dispatches > 0 {
-            self.ration.further.extend(self.ration.rule.as_ref().map(|_| now));
+            self.ration.spend(now);
+        }
+        if let Some(key) = held.batch.key {
+            self.keys.sent(key, b, held.dispatches as u8);
         }
         engine.health.trial_at = now + engine.health.trial_gap;
         engine.budgets.running[g] += self.threads[g];
--- /dev/null
+++ b/src/policy/account.rs
@@ -0,0 +1,89 @@
+//! Rule 5 as an account for each key: whose turn it is, in the order taken, and what of the key may still run.
+//! A dispatch is on it from before its first byte until something proves that it neither runs nor can start;
+//! only then, and not when its outcome comes, may the next batch of its key go.
+
+use crate::interface::{Last, Seen};
+use crate::time::{At, Span};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The one table of how a dispatch can end: whether that proves that nothing of it runs or can start. What a
+/// process says proves something only where the same one has the batch: a call that was cut off may come in after
+/// the next one, and at the address of an engine about to go, which runs on what it has, another may listen.
+pub fn proves_over(seen: Seen) -> bool {
+    match seen.last {
+        Last::NotSent => true,
+        Last::Declined | Last::Ended | Last::Stopped | Last::Unknown => seen.same,
+        Last::Refused | Last::Silent | Last::Lost => false,
+    }
+}
+
+/// A dispatch that may run. Its batch is `None` once that has left: the index may then be another one's.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Entry {
+    batch: Option<usize>,
+    number: u8,
+    /// Open while it is out.
+    until: Option<At>,
+}
+
+/// Batches of one key in the order taken, and what of the key may run.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Line {
+    taken: VecDeque<usize>,
+    may_run: Vec<Entry>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Account {
+    /// The rule's own rest after what is not known to be over.
+    quiet: Span,
+    /// An engine gives up what it was not asked for in this long.
+    forgets: Span,
+    lines: BTreeMap<u64, Line>,
+}
+
+impl Account {
+    pub fn new(quiet: Span, forgets: Span) -> Account {
+        Account { quiet, forgets, lines: BTreeMap::new() }
+    }
+
+    pub fn take(&mut self, key: u64, b: usize) {
+        self.lines.entry(key).or_default().taken.push_back(b);
+    }
+
+    /// Whether it is the first of its key, with nothing of another that may run. Beside its own it may go again.
+    pub fn has_turn(&self, key: u64, b: usize, now: At) -> bool {
+        let Some(line) = self.lines.get(&key) else { return true };
+        let over = |e: &Entry| e.batch == Some(b) || e.until.is_some_and(|until| until <= now);
+        line.taken.front() == Some(&b) && line.may_run.iter().all(over)
+    }
+
+    pub fn sent(&mut self, key: u64, b: usize, number: u8) {
+        self.lines.entry(key).or_default().may_run.push(Entry { batch: Some(b), number, until: None });
+    }
+
+    /// The dispatch has its outcome. `unsure` where the rule itself asks for a rest after such an outcome.
+    pub fn ended(&mut self, key: u64, b: usize, number: u8, seen: Seen, unsure: bool, now: At) {
+        let Some(line) = self.lines.get_mut(&key) else { return };
+        let over = if proves_over(seen) { now } else { now.max(seen.asked + self.forgets) };
+        let until = over + if unsure || over > now { self.quiet } else { Span::ZERO };
+        let this = |e: &&mut Entry| e.batch == Some(b) && e.number == number;
+        line.may_run.iter_mut().filter(this).for_each(|e| e.until = Some(until));
+        line.may_run.retain(|e| e.until.is_none_or(|until| until > now));
+    }
+
+    /// Its batch is over: what may run of it stays on the account, under no index.
+    pub fn leave(&mut self, key: u64, b: usize) {
+        let Some(line) = self.lines.get_mut(&key) else { return };
+        line.taken.retain(|other| *other != b);
+        line.may_run.iter_mut().filter(|e| e.batch == Some(b)).for_each(|e| e.batch = None);
+    }
+
+    /// Keys of which nothing is in hand and nothing may run leave memory.
+    pub fn tidy(&mut self, now: At) {
+        self.lines.retain(|_, line| {
+            line.may_run.retain(|e| e.until.is_none_or(|until| until > now));
+            !line.taken.is_empty() || !line.may_run.is_empty()
+        });
+    }
+}
--- a/src/time.rs
+++ b/src/time.rs
@@ -3,11 +3,11 @@
 use std::ops::{Add, Div, Mul, Sub};
 
 /// A point on the clock that the caller hands in, in microseconds from an arbitrary start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct At(u64);
 
 /// A length of time in microseconds, never negative.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span(u64);
 
 impl At {
--- /dev/null
+++ b/tests/account.rs
@@ -0,0 +1,336 @@
+//! The account of a key against a plain world of engines that run what came to them until it is known not to:
+//! every order of two batches by model checking, longer ones by chance.
+
+use larchfall::interface::{Last, Seen};
+use larchfall::policy::account::{Account, proves_over};
+use larchfall::time::{At, Span};
+use proptest::prelude::*;
+use stateright::{Checker, Model, Property};
+
+const KEY: u64 = 7;
+/// In ticks: an engine gives up what it was not asked for in this long; a call that was cut off comes in within
+/// one more, and the front reckons with another for its own clock.
+const FORGETS: u64 = 2;
+const RECKONED: u64 = FORGETS + 2;
+
+fn at(tick: u64) -> At {
+    At::from_micros(1_000 + tick)
+}
+
+/// A connection and whether the process there has spoken of the dispatch as its own.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Link {
+    process: usize,
+    same: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Is {
+    Outside,
+    Waits,
+    Out { engine: usize, link: Option<Link>, asked: u64 },
+    Over,
+}
+
+/// A dispatch at a process, on its way there or running.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct There {
+    batch: usize,
+    process: usize,
+    since: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    account: Account,
+    now: u64,
+    batches: Vec<(Is, u8)>,
+    flying: Vec<There>,
+    running: Vec<There>,
+    ended: Vec<There>,
+    /// By address: the process that listens there, if any. One that listens no more runs on what it has.
+    listens: Vec<Option<usize>>,
+    processes: usize,
+    cuts: u8,
+    broken: Option<&'static str>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Act {
+    Take(usize),
+    Send(usize, usize),
+    Arrive(usize),
+    Finish(usize),
+    Cut(usize),
+    Ask(usize),
+    Stop(usize),
+    GiveUp(usize),
+    Panic(usize),
+    Leave(usize),
+    Close(usize),
+    Replace(usize),
+    Tick,
+}
+
+/// How the front reads what is said: with care, or as it did before the account, when every 204 was an end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Reading {
+    Careful,
+    Trusting,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bounds {
+    batches: usize,
+    engines: usize,
+    ticks: u64,
+    tries: u8,
+    cuts: u8,
+    processes: usize,
+    reading: Reading,
+}
+
+impl World {
+    fn new(x: &Bounds) -> World {
+        World {
+            account: Account::new(Span::ZERO, Span::from_micros(RECKONED)),
+            now: 0,
+            batches: vec![(Is::Outside, 0); x.batches],
+            flying: Vec::new(),
+            running: Vec::new(),
+            ended: Vec::new(),
+            listens: (0..x.engines).map(Some).collect(),
+            processes: x.engines,
+            cuts: 0,
+            broken: None,
+        }
+    }
+
+    fn on_its_way(&self, b: usize) -> bool {
+        let link =
+            |process| matches!(&self.batches[b].0, Is::Out { link: Some(l), .. } if l.process == process);
+        self.flying.iter().any(|f| f.batch == b && link(f.process))
+    }
+
+    fn may(&self, act: Act, x: &Bounds) -> bool {
+        let is = |b: usize| &self.batches[b].0;
+        let out = |b: usize| matches!(is(b), Is::Out { .. });
+        match act {
+            Act::Take(b) => *is(b) == Is::Outside && (b == 0 || *is(b - 1) != Is::Outside),
+            Act::Send(b, e) => {
+                *is(b) == Is::Waits
+                    && self.batches[b].1 < x.tries
+                    && self.listens[e].is_some()
+                    && self.account.has_turn(KEY, b, at(self.now))
+            }
+            Act::Arrive(i) => i < self.flying.len(),
+            Act::Finish(i) => i < self.running.len(),
+            Act::Cut(b) => matches!(is(b), Is::Out { link: Some(_), .. }) && self.cuts < x.cuts,
+            Act::Ask(b) | Act::Stop(b) => out(b) && !self.on_its_way(b),
+            Act::GiveUp(b) | Act::Panic(b) => out(b),
+            Act::Leave(b) => *is(b) == Is::Waits,
+            Act::Close(e) => self.listens[e].is_some(),
+            Act::Replace(e) => self.listens[e].is_none() && self.processes < x.processes,
+            Act::Tick => self.now < x.ticks && !(0..x.batches).any(|b| self.on_its_way(b)),
+        }
+    }
+
+    fn all(x: &Bounds) -> Vec<Act> {
+        let mut acts = vec![Act::Tick];
+        for b in 0..x.batches {
+            acts.extend([Act::Take(b), Act::Arrive(b), Act::Finish(b), Act::Cut(b), Act::Ask(b)]);
+            acts.extend([Act::Stop(b), Act::GiveUp(b), Act::Panic(b), Act::Leave(b)]);
+            acts.extend((0..x.engines).map(|e| Act::Send(b, e)));
+        }
+        acts.extend((0..x.engines).flat_map(|e| [Act::Close(e), Act::Replace(e)]));
+        acts
+    }
+
+    fn act(&mut self, act: Act, x: &Bounds) {
+        match act {
+            Act::Take(b) => {
+                self.batches[b].0 = Is::Waits;
+                self.account.take(KEY, b);
+            }
+            Act::Send(b, e) => {
+                if self.batches[..b].iter().any(|(is, _)| *is != Is::Over) {
+                    self.broken = Some("sent while an earlier one is not over");
+                }
+                let process = self.listens[e].unwrap();
+                self.account.sent(KEY, b, self.batches[b].1);
+                self.flying.push(There { batch: b, process, since: self.now });
+                let link = Some(Link { process, same: true });
+                self.batches[b].0 = Is::Out { engine: e, link, asked: self.now };
+            }
+            Act::Arrive(i) => {
+                let call = self.flying.remove(i);
+                if self.running.iter().any(|r| r.batch != call.batch) {
+                    self.broken = Some("two of a key run at once");
+                }
+                self.running.push(There { since: self.now, ..call });
+            }
+            Act::Finish(i) => self.ended.push(self.running.remove(i)),
+            Act::Cut(b) => {
+                self.cuts += 1;
+                if let Is::Out { link, .. } = &mut self.batches[b].0 {
+                    *link = None;
+                }
+            }
+            Act::Ask(b) | Act::Stop(b) => self.call(b, act == Act::Stop(b), x),
+            Act::GiveUp(b) => self.end(b, Last::Silent, x),
+            Act::Panic(b) => {
+                self.end(b, Last::Lost, x);
+                self.leave(b);
+            }
+            Act::Leave(b) => self.leave(b),
+            Act::Close(e) => self.listens[e] = None,
+            Act::Replace(e) => {
+                self.listens[e] = Some(self.processes);
+                self.processes += 1;
+            }
+            Act::Tick => {
+                self.now += 1;
+                let now = self.now;
+                self.flying.retain(|f| now - f.since <= 1);
+                self.running.retain(|r| now - r.since <= FORGETS);
+                self.account.tidy(at(now));
+            }
+        }
+    }
+
+    /// A call for news or to stop, on the connection there is or on a new one.
+    fn call(&mut self, b: usize, stop: bool, x: &Bounds) {
+        let now = self.now;
+        let Is::Out { engine, link, asked } = &mut self.batches[b].0 else { return };
+        if link.is_none() {
+            *link = self.listens[*engine].map(|process| Link { process, same: false });
+        }
+        let Some(l) = link else { return self.end(b, Last::Refused, x) };
+        let here = |t: &There| t.batch == b && t.process == l.process;
+        if stop {
+            self.running.retain(|r| !here(r));
+            return self.end(b, Last::Stopped, x);
+        }
+        *asked = now;
+        if let Some(run) = self.running.iter_mut().find(|r| here(r)) {
+            (run.since, l.same) = (now, true);
+        } else if self.ended.iter().any(here) {
+            l.same = true;
+            self.end(b, Last::Ended, x);
+            self.leave(b);
+        } else {
+            self.end(b, Last::Unknown, x);
+        }
+    }
+
+    fn end(&mut self, b: usize, last: Last, x: &Bounds) {
+        let Is::Out { link, asked, .. } = &self.batches[b].0 else { return };
+        let trusted = x.reading == Reading::Trusting && last == Last::Stopped;
+        let same = trusted || link.as_ref().is_some_and(|l| l.same);
+        let seen = Seen { last, same, asked: at(*asked) };
+        let number = self.batches[b].1;
+        self.account.ended(KEY, b, number, seen, false, at(self.now));
+        self.batches[b] = (Is::Waits, number + 1);
+    }
+
+    fn leave(&mut self, b: usize) {
+        self.batches[b].0 = Is::Over;
+        self.account.leave(KEY, b);
+    }
+}
+
+impl Model for Bounds {
+    type State = World;
+    type Action = Act;
+
+    fn init_states(&self) -> Vec<World> {
+        vec![World::new(self)]
+    }
+
+    fn actions(&self, world: &World, acts: &mut Vec<Act>) {
+        acts.extend(World::all(self).into_iter().filter(|a| world.broken.is_none() && world.may(*a, self)));
+    }
+
+    fn next_state(&self, world: &World, act: Act) -> Option<World> {
+        let mut next = world.clone();
+        next.act(act, self);
+        Some(next)
+    }
+
+    fn properties(&self) -> Vec<Property<Bounds>> {
+        vec![
+            Property::always("rule 5", |_: &Bounds, w: &World| w.broken.is_none()),
+            // Else an account that lets nobody go would pass.
+            Property::sometimes("both end", |_: &Bounds, w: &World| {
+                w.batches.iter().all(|(is, _)| *is == Is::Over) && w.ended.len() == 2
+            }),
+        ]
+    }
+}
+
+const TWO: Bounds =
+    Bounds { batches: 2, engines: 1, ticks: 5, tries: 1, cuts: 1, processes: 2, reading: Reading::Careful };
+
+#[test]
+fn two_batches_of_a_key_one_engine_replaced_and_one_cut_in_every_order() {
+    let checker = TWO.checker().threads(4).spawn_bfs().join();
+    checker.assert_properties();
+    assert!(checker.unique_state_count() > 1_000, "{}", checker.unique_state_count());
+}
+
+#[test]
+fn the_reading_before_the_account_is_found_to_break_the_rule() {
+    let before = Bounds { reading: Reading::Trusting, ..TWO };
+    let checker = before.checker().threads(4).spawn_bfs().join();
+    assert!(checker.discovery("rule 5").is_some(), "{} states", checker.unique_state_count());
+}
+
+#[test]
+fn each_way_to_end_proves_what_the_table_says() {
+    use Last::*;
+    let over = [
+        (NotSent, true),
+        (NotSent, false),
+        (Declined, true),
+        (Ended, true),
+        (Stopped, true),
+        (Unknown, true),
+    ];
+    for last in [NotSent, Declined, Ended, Stopped, Unknown, Refused, Silent, Lost] {
+        for same in [true, false] {
+            let proof = proves_over(Seen { last, same, asked: at(0) });
+            assert_eq!(proof, over.contains(&(last, same)), "{last:?} {same}");
+        }
+    }
+}
+
+#[test]
+fn an_index_that_serves_again_is_not_taken_for_the_one_before() {
+    let mut account = Account::new(Span::ZERO, Span::from_micros(RECKONED));
+    account.take(KEY, 0);
+    account.sent(KEY, 0, 0);
+    account.ended(KEY, 0, 0, Seen { last: Last::Lost, same: false, asked: at(0) }, false, at(0));
+    account.leave(KEY, 0);
+    account.take(KEY, 0);
+    assert!(!account.has_turn(KEY, 0, at(RECKONED - 1)), "what may run is another batch's");
+    assert!(account.has_turn(KEY, 0, at(RECKONED)));
+    account.leave(KEY, 0);
+    account.tidy(at(RECKONED));
+    assert_eq!(account, Account::new(Span::ZERO, Span::from_micros(RECKONED)), "nothing is left of the key");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_order_of_sends_ends_cuts_and_changes_keeps_the_rule(draws in prop::collection::vec(any::<u16>(), 1..200)) {
+        let x = Bounds { batches: 5, engines: 2, ticks: 60, tries: 3, cuts: 9, processes: 9, ..TWO };
+        let mut world = World::new(&x);
+        for draw in draws {
+            let acts: Vec<_> = World::all(&x).into_iter().filter(|a| world.may(*a, &x)).collect();
+            let Some(act) = acts.get(usize::from(draw) % acts.len().max(1)) else { break };
+            world.act(*act, &x);
+            prop_assert_eq!(world.broken, None, "after {:?}", act);
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,9 @@
 use larchfall::policy::Policy;
 use larchfall::time::{At, Span};
 
+/// The engine itself said the end.
+pub const SAID: Seen = Seen { last: Last::Ended, same: true, asked: At::from_micros(0) };
+
 pub const LOOK_UP: usize = 0;
 pub const REPORT: usize = 1;
 pub const LOAD: usize = 2;
@@ -150,7 +153,7 @@
             outcome,
             took: Span::from_millis(took_ms),
             over: outcome == Outcome::Returned,
-            runs_on: Span::ZERO,
+            seen: SAID,
             work: None,
             report,
         };
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -182,19 +182,86 @@
 
 #[test]
 fn rule_7_further_dispatches_stay_within_the_ration() {
-    // (free, a batch, batches taken, further dispatches got)
-    for (free, per_batch, batches, got) in
-        [(0.0, 0.0, 10, 0), (2.0, 0.0, 10, 2), (2.0, 0.1, 20, 4), (0.0, 0.1, 9, 0)]
-    {
+    // (free, a batch, batches returned, how a flood of 200 ends, further dispatches got)
+    for (free, per_batch, returned, flood, got) in [
+        (0.0, 0.0, 10, None, 0),
+        (2.0, 0.0, 10, None, 2),
+        (2.0, 0.1, 20, None, 4),
+        (0.0, 0.1, 9, None, 0),
+        (2.0, 0.1, 20, Some(Outcome::CalledOff), 4),
+        (2.0, 0.1, 20, Some(Outcome::Errored), 4),
+        (2.0, 0.1, 20, Some(Outcome::Returned), 4),
+        (2.0, 0.1, 0, Some(Outcome::CalledOff), 2),
+    ] {
         let rule = RationRule { window: Span::from_millis(10_000), free, per_batch };
-        let mut front = Rig { ration: Some(rule), ..Rig::default() }.start(4);
-        let taken: Vec<_> = (0..batches).map(|_| front.take(0, batch(LOOK_UP)).0).collect();
+        let rig = Rig { ration: Some(rule), ..Rig::default() };
+        let mut front = rig.start(4);
+        for _ in 0..returned {
+            let b = front.take(0, batch(LOOK_UP)).0;
+            front.end(5, b, 0, Outcome::Returned, 5);
+        }
+        // Taken back, be it before or after an engine has answered: none of it may widen the ration.
+        for outcome in (0..200).filter_map(|_| flood) {
+            let b = front.take(6, batch(LOOK_UP)).0;
+            front.policy.client_left(b);
+            front.end(7, b, 0, outcome, 1);
+        }
         let mut further = 0;
-        for b in taken {
+        for _ in 0..10 {
+            let b = front.take(9, batch(LOOK_UP)).0;
             front.end(10, b, 0, Outcome::Full, 1);
             further += usize::from(sent_to(front.policy.place(ms(10), b)).is_some());
         }
-        assert_eq!(further, got, "{free} + {per_batch} a batch of {batches}");
+        assert_eq!(further, got, "{free} + {per_batch} a batch of {returned}, {flood:?}");
+    }
+}
+
+#[test]
+fn what_was_returned_counts_from_when_it_was_taken() {
+    let rule = RationRule { window: Span::from_millis(1_000), free: 0.0, per_batch: 1.0 };
+    let mut front = Rig { ration: Some(rule), ..Rig::default() }.start(4);
+    // A long one ends after a short one that was taken later.
+    let (long, _) = front.take(0, batch(LOOK_UP));
+    let (short, _) = front.take(500, batch(LOOK_UP));
+    front.end(600, short, 0, Outcome::Returned, 100);
+    front.end(900, long, 0, Outcome::Returned, 900);
+    let mut further = |at, allowed| {
+        let (b, _) = front.take(at, batch(LOOK_UP));
+        front.end(at, b, 0, Outcome::Full, 1);
+        assert_eq!(sent_to(front.policy.place(ms(at), b)).is_some(), allowed, "at {at}");
+    };
+    further(999, true);
+    further(1_100, false);
+    further(1_600, false);
+}
+
+#[test]
+fn rule_2_what_was_cut_off_and_then_turned_away_may_have_run() {
+    for (same, place) in [(true, Place::PushBack(Some(Span::from_millis(500)))), (false, Place::Error)] {
+        let mut front = Rig { ration: Some(RationRule::default()), ..Rig::default() }.start(1);
+        let (b, _) = front.take(0, batch(LOAD));
+        let seen = Seen { last: Last::Declined, same, ..SAID };
+        let answer = Answer { over: false, ..Answer::bare(Outcome::Full, seen) };
+        front.policy.after(ms(1), b, 0, &answer);
+        assert_eq!(front.policy.place(ms(1), b), place, "{same}");
+    }
+}
+
+#[test]
+fn a_batch_that_nobody_looks_after_any_more_leaves_with_its_key() {
+    let mut rig = Rig {
+        caps: Caps { forgets: Some(Span::from_millis(2_150)), ..Rig::default().caps },
+        ..Rig::default()
+    };
+    rig.groups[LOAD].in_order = true;
+    let mut front = rig.start(2);
+    let keyed = Batch { key: Some(9), ..batch(LOAD) };
+    let (first, place) = front.take(0, keyed.clone());
+    assert!(sent_to(place).is_some());
+    let (second, _) = front.take(1, keyed);
+    front.policy.lost(ms(10), first);
+    for (at, turn) in [(20, false), (2_159, false), (2_160, true)] {
+        assert_eq!(sent_to(front.policy.place(ms(at), second)).is_some(), turn, "at {at}");
     }
 }
 
@@ -400,8 +467,7 @@
             let (took, busy) = if d.engine == 0 { (took, busy) } else { (100, busy.map(|_| 0.5)) };
             let (took, work) = (Span::from_millis(took), Some(Span::from_millis(100)));
             let report = Report { in_hand: None, busy };
-            let answer =
-                Answer { outcome: Outcome::Returned, took, over: true, runs_on: Span::ZERO, work, report };
+            let answer = Answer { outcome: Outcome::Returned, took, over: true, seen: SAID, work, report };
             front.policy.after(ms(at) + took, b, 0, &answer);
             front.policy.tick(ms(at + 900));
         }
