Clients that never pause keep no other from being heard; messages are looked through once

The coroutine worker looks for events only when nothing is ready, and clients that always have something to say yielded to each other. A message in pieces was read from its start at each piece. Change: the worker's passing is noted by a wait on a silent socket; overdue by 60 ms, whoever could go on sleeps. A resumable scan finds a message's end. Nothing is sent to an engine that the list has moved since the pick, nor right after a long stall. Simulated engines and clients.

--- a/front/src/client.rs
+++ b/front/src/client.rs
@@ -2,9 +2,10 @@
 
 use crate::batch::{self, Task};
 use crate::state::State;
+use crate::state::clock::wait;
 use crate::state::facade::NotTaken;
 use crate::state::peer::{Opening, Peer};
-use crate::wire::rpc::{self, Message, Request};
+use crate::wire::rpc::{self, Message, Request, Scan};
 use crate::wire::statement::table_group;
 use larchfall::interface::{Batch, Place};
 use larchfall::time::{At, Span};
@@ -28,6 +29,9 @@
 /// Clients write requests of one key apart from each other, up to this much after one that came on a new
 /// connection, and the time of one that they hold back runs meanwhile.
 const KEYS_APART: Span = Span::from_millis(250);
+/// So many reads or writes one after the other, and then a pause.
+const BURST: usize = 8;
+const PAUSE: Span = Span::from_millis(5);
 /// On the stack, so that an idle connection keeps no buffer.
 const CHUNK: usize = 4 * 1024;
 
@@ -100,7 +104,7 @@
 }
 
 fn converse(state: &Arc<State>, stream: &TcpStream, peer: &Arc<Peer>) -> Reason {
-    let mut input = Vec::new();
+    let (mut input, mut scan, mut rounds) = (Vec::new(), Scan::default(), 0);
     // A new connection may have waited in the listener's queue for as long as a stall lasted.
     let mut slept_since = At::default();
     loop {
@@ -118,6 +122,7 @@
                 state,
                 peer,
                 &mut input,
+                &mut scan,
                 state.heart.may_be_from(slept_since, state.clock.now()),
             )
         {
@@ -126,10 +131,20 @@
         let now = state.clock.now();
         if wrote + read > 0 {
             peer.stirred(now);
-            // Others may have waited while this one was served.
-            may::coroutine::yield_now();
+            rounds += 1;
+            if rounds < BURST {
+                // Others may have waited while this one was served.
+                may::coroutine::yield_now();
+            }
+            // While any coroutine is ready the worker looks for no events: those that always have something to say
+            // would keep all others from being heard.
+            while rounds >= BURST || state.heart.starves_others(state.clock.now()) {
+                rounds = 0;
+                may::coroutine::sleep(wait(PAUSE));
+            }
             continue;
         }
+        rounds = 0;
         if peer.awaits_since().is_some_and(|since| now.since(since) >= WHOLE_WITHIN) {
             return Reason::NotWhole;
         }
@@ -180,10 +195,21 @@
     }
 }
 
-fn take_messages(state: &Arc<State>, peer: &Arc<Peer>, input: &mut Vec<u8>, sent: At) -> Result<(), Reason> {
+fn take_messages(
+    state: &Arc<State>,
+    peer: &Arc<Peer>,
+    input: &mut Vec<u8>,
+    scan: &mut Scan,
+    sent: At,
+) -> Result<(), Reason> {
     let mut at = 0;
-    while let Some((message, used)) = rpc::decode(&input[at..]).map_err(Reason::Malformed)? {
-        at += used;
+    while let Some(length) = scan.whole(&input[at..]).map_err(Reason::Malformed)? {
+        *scan = Scan::default();
+        let whole = &input[at..at + length];
+        at += length;
+        let Some((message, _)) = rpc::decode(whole).map_err(Reason::Malformed)? else {
+            return Err(Reason::Malformed("not MessagePack"));
+        };
         match message {
             Message::Ping(id) => {
                 open(peer, id)?;
--- a/front/src/dispatch.rs
+++ b/front/src/dispatch.rs
@@ -23,6 +23,8 @@
 /// and ask all that time; the rest is for its own clock and the way there.
 pub const FORGOTTEN_AFTER: Span = Span::from_millis(2400);
 const PAUSE: Span = Span::from_millis(20);
+/// What was picked longer ago is not sent to an engine that drains by now: its grace runs.
+const FRESH: Span = Span::from_millis(600);
 /// A dispatch that finds all descriptors in use is better told so at once.
 const SEAT_WITHIN: Span = Span::from_millis(20);
 /// Giving up must not hold up an answer.
@@ -114,10 +116,15 @@
             Ok(link) => link,
             Err(why) => return self.not_sent(why),
         };
+        let deaf = self.state.heart.deaf_for(self.state.clock.now());
+        if deaf > Span::ZERO {
+            may::coroutine::sleep(wait(deaf));
+        }
         // Its client left while it waited for this connection, or the list moved its engine: another process may
-        // have the address, of another kind, cold, or with nothing to do with the engine that was picked.
+        // have the address, of another kind, cold, or with nothing to do with the one that was picked.
+        let fresh = self.state.clock.now().since(self.sent) < FRESH;
         if self.state.facade.left(self.b).is_some()
-            || self.state.facade.home(self.to.engine) != Some(self.home)
+            || !self.state.facade.is_open(self.to.engine, self.home, fresh)
         {
             self.done(Some(link));
             return not_sent(Outcome::Moot);
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -44,6 +44,7 @@
     for event in &known {
         board::take(&state, event);
     }
+    let looks = timer::Looks::open().map_err(|e| (1, format!("a pair of sockets: {e}")))?;
     let mut signals = stop::Signals::listen().map_err(|e| (1, format!("signals: {e}")))?;
     info!(state.log, "listening"; "clients" => state.limits.clients, "engine_links" => state.limits.engine_links,
         "batches" => state.limits.batches, "address" => listener.local_addr().unwrap_or(address.into()).to_string());
@@ -58,6 +59,8 @@
                 let state = state.clone();
                 may::go!(move || reload::on_signal(&state, asked, &file, seed));
             }
+            let looker = state.clone();
+            may::go!(move || timer::look_for_events(&looker, looks));
             may::go!(move || accept(&s3, &listener));
             stop::until_ended(&state, signals);
         })
@@ -110,7 +113,7 @@
         if state.peers.len() + spare >= most {
             state.peers.make_room(spare, state.clock.now() - FRESH);
         }
-        if state.peers.len() >= most {
+        if state.peers.len() >= most || state.heart.starves_others(state.clock.now()) {
             may::coroutine::sleep(wait(PAUSE));
             continue;
         }
--- a/front/src/state/engines.rs
+++ b/front/src/state/engines.rs
@@ -53,6 +53,13 @@
         self.listed.get(e).map(|l| Home { address: l.entry.address, era: l.era })
     }
 
+    /// Whether what was picked for this process may still be sent there: the list has neither moved nor dropped
+    /// it, and where it drains by now, the pick is `fresh`.
+    pub fn is_open(&self, e: usize, home: Home, fresh: bool) -> bool {
+        let listed = self.listed.get(e).filter(|l| l.era == home.era && !l.is_gone());
+        listed.is_some_and(|l| fresh || l.entry.state == EngineState::Ready)
+    }
+
     /// Those that the board calls gone.
     pub fn gone(&self) -> Vec<usize> {
         self.listed.iter().filter(|(_, l)| l.is_gone()).map(|(e, _)| e).collect()
--- a/front/src/state/facade.rs
+++ b/front/src/state/facade.rs
@@ -207,6 +207,11 @@
         lock(&self.inner).engines.seen()
     }
 
+    /// Whether what was picked for this process may still be sent there.
+    pub fn is_open(&self, e: usize, home: Home, fresh: bool) -> bool {
+        lock(&self.inner).engines.is_open(e, home, fresh)
+    }
+
     /// None once it is gone and nothing of this front's is out there.
     pub fn home(&self, e: usize) -> Option<Home> {
         lock(&self.inner).engines.home(e)
--- a/front/src/state/heart.rs
+++ b/front/src/state/heart.rs
@@ -14,6 +14,13 @@
 const CHAIN: Span = Span::from_millis(2000);
 /// Worth a line in the log.
 const LONG: Span = Span::from_millis(250);
+/// What the notice board told in a stall as long as this may be past its grace when the front wakes, and is read
+/// within so much.
+const DEAF: Span = Span::from_millis(1000);
+const CATCH_UP: Span = Span::from_millis(60);
+/// The worker looks for events of sockets only when nothing is ready to run. It has passed that point this lately, or
+/// others are starved by those who always have something to say.
+const EVENTS_WITHIN: Span = Span::from_millis(60);
 /// What came meanwhile is read within this much after it.
 const AFTERMATH: Span = Span::from_millis(200);
 
@@ -23,14 +30,25 @@
 
 struct Beats {
     last: At,
+    /// When the worker last looked for events.
+    looked: At,
     long: bool,
+    deaf_until: At,
     /// The last stall: from, until.
     stall: (At, At),
 }
 
 impl Heart {
     pub fn start(now: At) -> Heart {
-        Heart { beats: Mutex::new(Beats { last: now, long: false, stall: (At::default(), At::default()) }) }
+        Heart {
+            beats: Mutex::new(Beats {
+                last: now,
+                looked: now,
+                long: false,
+                deaf_until: now,
+                stall: (At::default(), At::default()),
+            }),
+        }
     }
 
     /// The timer came by; true when there was a long stall since the last time, whoever woke first from it.
@@ -49,10 +67,29 @@
             let goes_on = beats.last.since(until) < AFTERMATH && now.since(from) < CHAIN;
             beats.stall = (if goes_on { from } else { beats.last }, now);
         }
+        if silence >= DEAF {
+            beats.deaf_until = now + CATCH_UP;
+        }
         beats.last = now;
         beats.long |= silence > LONG;
     }
 
+    /// The worker looked for events of sockets.
+    pub fn looked(&self, now: At) {
+        lock(&self.beats).looked = now;
+    }
+
+    /// Whether whoever could go on at once is to wait, so that the worker looks for the events of others.
+    pub fn starves_others(&self, now: At) -> bool {
+        now.since(lock(&self.beats).looked) > EVENTS_WITHIN
+    }
+
+    /// How long nothing may be sent yet: after a long stall the board is to be read first.
+    pub fn deaf_for(&self, now: At) -> Span {
+        self.mark(now);
+        lock(&self.beats).deaf_until.since(now)
+    }
+
     /// The earliest time at which a reader that slept since then may have been sent what it reads now.
     pub fn may_be_from(&self, slept_since: At, now: At) -> At {
         self.mark(now);
--- a/front/src/timer.rs
+++ b/front/src/timer.rs
@@ -3,11 +3,14 @@
 use crate::client::{QUIET, WHOLE_WITHIN};
 use crate::dispatch;
 use crate::state::State;
+use crate::state::clock::wait;
 use crate::state::facade::TICK;
 use crate::state::heart::BEAT;
 use larchfall::time::Span;
+use may::os::unix::net::UnixStream;
 use may::sync::Blocker;
 use slog::{info, warn};
+use std::io::{self, ErrorKind, Read};
 use std::sync::Arc;
 
 pub fn run(state: &Arc<State>) {
@@ -34,6 +37,26 @@
     }
 }
 
+/// Two ends on which nothing is ever said: a wait there ends only when the worker looks for events.
+pub struct Looks(UnixStream, UnixStream);
+
+impl Looks {
+    pub fn open() -> io::Result<Looks> {
+        let (waits, silent) = UnixStream::pair()?;
+        waits.set_read_timeout(Some(wait(BEAT)))?;
+        Ok(Looks(waits, silent))
+    }
+}
+
+/// Notes for good when the worker looked for events last.
+pub fn look_for_events(state: &Arc<State>, looks: Looks) {
+    let Looks(mut waits, _silent) = looks;
+    // Both ends stay open, so the wait only ever ends by its time.
+    while matches!(waits.read(&mut [0]), Err(e) if e.kind() != ErrorKind::NotConnected) {
+        state.heart.looked(state.clock.now());
+    }
+}
+
 fn tick(state: &Arc<State>) {
     for e in state.facade.tick() {
         let state = state.clone();
--- a/front/src/wire/rpc.rs
+++ b/front/src/wire/rpc.rs
@@ -1,6 +1,7 @@
 //! MessagePack-RPC as clients speak it.
 
 use larchfall::time::Span;
+use rmp::Marker;
 use rmpv::ValueRef;
 use rmpv::decode::read_value_ref_with_max_depth;
 use std::io::ErrorKind;
@@ -13,6 +14,8 @@
 const MOST_MB: f64 = 1_048_576.0;
 /// Hex digits of a request's id, and of a key at most.
 const ID_DIGITS: usize = 16;
+/// Levels of values within each other: a message, its parameters, the fields, and some to spare.
+const LEVELS: usize = 8;
 /// Deep enough for every message of the protocol, each value taking up to three steps of the reader; deeper
 /// nesting only costs stack.
 const DEPTH: usize = 16;
@@ -43,6 +46,87 @@
     pub statement: &'a [u8],
 }
 
+/// How far the first message in some bytes has been looked through, so that what comes in pieces is not read from its
+/// start again at each: messages without end cost their length, not its square.
+#[derive(Debug, Default)]
+pub struct Scan {
+    at: usize,
+    /// Values still to come, by level.
+    left: Vec<usize>,
+}
+
+impl Scan {
+    /// The length of the first message once it is whole. The same bytes and more are given each time.
+    pub fn whole(&mut self, bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+        loop {
+            let rest = &bytes[self.at..];
+            let Some(marker) = rest.first().map(|b| Marker::from_u8(*b)) else { return Ok(None) };
+            let Some((head, body, items)) = extent(marker, rest)? else { return Ok(None) };
+            let end = self.at.saturating_add(head).saturating_add(body);
+            if end > LONGEST || items > LONGEST {
+                return Err("message too long");
+            }
+            if end > bytes.len() {
+                return Ok(None);
+            }
+            self.at = end;
+            if items > 0 {
+                if self.left.len() >= LEVELS {
+                    return Err("not MessagePack of ours: nested too deep");
+                }
+                self.left.push(items);
+                continue;
+            }
+            loop {
+                let Some(left) = self.left.last_mut() else { return Ok(Some(self.at)) };
+                *left -= 1;
+                if *left > 0 {
+                    break;
+                }
+                self.left.pop();
+            }
+        }
+    }
+}
+
+/// Bytes of a value's head and body, and how many values follow as parts of it; `None` while its head is not whole.
+fn extent(marker: Marker, rest: &[u8]) -> Result<Option<(usize, usize, usize)>, Malformed> {
+    // A length of so many bytes behind the marker.
+    let length = |bytes: usize| {
+        rest.get(1..1 + bytes).map(|b| b.iter().fold(0_usize, |n, byte| n << 8 | usize::from(*byte)))
+    };
+    let body = |bytes, more| length(bytes).map(|n| (1 + bytes + more, n, 0));
+    let items = |bytes, times: usize| length(bytes).map(|n| (1 + bytes, 0, n.saturating_mul(times)));
+    Ok(match marker {
+        Marker::FixPos(_) | Marker::FixNeg(_) | Marker::Null | Marker::True | Marker::False => {
+            Some((1, 0, 0))
+        }
+        Marker::U8 | Marker::I8 => Some((1, 1, 0)),
+        Marker::U16 | Marker::I16 => Some((1, 2, 0)),
+        Marker::U32 | Marker::I32 | Marker::F32 => Some((1, 4, 0)),
+        Marker::U64 | Marker::I64 | Marker::F64 => Some((1, 8, 0)),
+        Marker::FixStr(n) => Some((1, usize::from(n), 0)),
+        Marker::Str8 | Marker::Bin8 => body(1, 0),
+        Marker::Str16 | Marker::Bin16 => body(2, 0),
+        Marker::Str32 | Marker::Bin32 => body(4, 0),
+        Marker::FixArray(n) => Some((1, 0, usize::from(n))),
+        Marker::Array16 => items(2, 1),
+        Marker::Array32 => items(4, 1),
+        Marker::FixMap(n) => Some((1, 0, 2 * usize::from(n))),
+        Marker::Map16 => items(2, 2),
+        Marker::Map32 => items(4, 2),
+        Marker::FixExt1 => Some((2, 1, 0)),
+        Marker::FixExt2 => Some((2, 2, 0)),
+        Marker::FixExt4 => Some((2, 4, 0)),
+        Marker::FixExt8 => Some((2, 8, 0)),
+        Marker::FixExt16 => Some((2, 16, 0)),
+        Marker::Ext8 => body(1, 1),
+        Marker::Ext16 => body(2, 1),
+        Marker::Ext32 => body(4, 1),
+        Marker::Reserved => return Err("not MessagePack"),
+    })
+}
+
 /// Why bytes are not a message.
 pub type Malformed = &'static str;
 
--- a/front/tests/front/codecs.rs
+++ b/front/tests/front/codecs.rs
@@ -3,7 +3,7 @@
 use larchfall::interface::{EngineState, Note, Report};
 use larchfall::time::Span;
 use larchfall_front::wire::http::{self, Reply, Start};
-use larchfall_front::wire::rpc::{self, Answer, Message};
+use larchfall_front::wire::rpc::{self, Answer, Message, Scan};
 use larchfall_front::wire::{board, statement};
 use larchfall_settings::Names;
 use larchfall_toy::board::{Listed, frame};
@@ -32,6 +32,7 @@
     let input = bytes(&request(7, "report", FULL, "select 1"));
     for cut in 0..input.len() {
         assert_eq!(rpc::decode(&input[..cut]), Ok(None), "cut at {cut}");
+        assert_eq!(Scan::default().whole(&input[..cut]), Ok(None), "cut at {cut}");
     }
     let twice = [&input[..], &input[..]].concat();
     let Ok(Some((Message::Batch(7, r), used))) = rpc::decode(&twice) else { panic!("no batch") };
@@ -331,3 +332,47 @@
         assert_eq!(statement::table_group(text.as_bytes()), *group, "{text}");
     }
 }
+
+/// Guards against messages that come in pieces and were read from their start at each: one without end took the
+/// whole front's processor time.
+#[test]
+fn a_message_is_looked_through_once_in_whatever_pieces_it_comes() {
+    use rmpv::Value;
+    let values = [
+        Value::Nil,
+        Value::from(-70_000),
+        Value::from(u64::MAX),
+        Value::F32(1.5),
+        Value::F64(2.5),
+        Value::from("text"),
+        Value::from("t".repeat(300)),
+        Value::Binary(vec![1; 70_000]),
+        Value::Array(Vec::new()),
+        Value::Array(vec![Value::from(1); 20]),
+        Value::Map(vec![(Value::from("a"), Value::Array(vec![Value::Nil, Value::from(200)])); 17]),
+        Value::Ext(3, vec![0; 4]),
+        Value::Ext(3, vec![0; 300]),
+    ];
+    for value in values {
+        let mut bytes = Vec::new();
+        rmpv::encode::write_value(&mut bytes, &value).unwrap();
+        let length = bytes.len();
+        bytes.extend([0xc0; 3]);
+        for step in [1, 7, 4096] {
+            let mut scan = Scan::default();
+            for cut in (0..length).step_by(step) {
+                assert_eq!(scan.whole(&bytes[..cut]), Ok(None), "{length} bytes cut at {cut}");
+            }
+            assert_eq!(scan.whole(&bytes), Ok(Some(length)));
+        }
+    }
+    for bytes in [
+        &[0xc1][..],
+        &[0x91; 64],
+        &[0xdd, 0, 2, 0, 1],
+        &[0xc6, 3, 0x93, 0x87, 0],
+        &[0xdf, 255, 255, 255, 255],
+    ] {
+        assert!(Scan::default().whole(bytes).is_err(), "{bytes:?}");
+    }
+}
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -5,8 +5,9 @@
 use larchfall_toy::client::{Answer, Client, request};
 use larchfall_toy::engine::{Act, Engine};
 use std::io::{Read, Write};
-use std::net::TcpListener;
-use std::sync::mpsc;
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 
 const NOW: Duration = Duration::ZERO;
@@ -312,13 +313,17 @@
     let half = [&whole[..], &whole[..9]].concat();
     // A body of 60 MB that is announced, and never comes.
     let huge = [&whole[..whole.len() - 2], &[0xc6, 3, 0x93, 0x87, 0]].concat();
-    for (bytes, what) in
-        [(&b""[..], "nothing"), (&whole[..9], "a half"), (&half, "one and a half"), (&huge, "60 MB")]
-    {
+    let (waits, long) = ("reason: no-whole-message", "detail: message too long");
+    for (bytes, what, reason) in [
+        (&b""[..], "nothing", waits),
+        (&whole[..9], "a half", waits),
+        (&half, "one and a half", waits),
+        (&huge, "60 MB", long),
+    ] {
         let mut client = front.client();
+        let ended = front.log.count(reason) + 1;
         client.raw(bytes).unwrap();
-        let ended = front.log.count("reason: no-whole-message") + 1;
-        wait_for(what, || (front.log.count("reason: no-whole-message") == ended).then_some(()));
+        wait_for(what, || (front.log.count(reason) == ended).then_some(()));
         assert!(bytes.len() > whole.len() || client.is_ended(), "{what}");
     }
 }
@@ -529,3 +534,32 @@
     let line = front.log.wait_for("group=look");
     assert!(line.contains("taken=1 returned=1 pushed_back=0 errored=0 left=0 dispatches=1"), "{line}");
 }
+
+/// Guards against a worker that looks for no events while any coroutine is ready: connections that always have
+/// something to say kept all others, and every engine's answer, from being heard for seconds.
+#[test]
+fn clients_that_never_pause_keep_nobody_from_being_heard() {
+    let engine = engine(Act::Serve(Duration::from_millis(50), pages(&["ok\n"])));
+    let front = Front::start(Some(engine.address));
+    let over = Arc::new(AtomicBool::new(false));
+    let abort = [0x93, 2, 0xa5, b'a', b'b', b'o', b'r', b't', 0x91, 77].repeat(3000);
+    let floods: Vec<_> = (0..24)
+        .map(|_| {
+            let (over, abort, to) = (over.clone(), abort.clone(), front.address);
+            std::thread::spawn(move || {
+                let mut stream = TcpStream::connect(to).unwrap();
+                while !over.load(Ordering::Relaxed) && stream.write_all(&abort).is_ok() {}
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(300));
+    let mut client = front.client();
+    for n in 0..5 {
+        let began = Instant::now();
+        client.send("look", &fields(&format!("{n:016x}"), "20000"), "").unwrap();
+        assert_eq!(client.answer().unwrap().1, rows("ok\n"));
+        assert!(began.elapsed() < Duration::from_millis(2500), "{n}: {:?}", began.elapsed());
+    }
+    over.store(true, Ordering::Relaxed);
+    floods.into_iter().for_each(|f| f.join().unwrap());
+}
