--- a/examples/toy/src/lib.rs
+++ b/examples/toy/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod client;
 pub mod engine;
 pub mod hall;
+pub mod rest;
--- /dev/null
+++ b/front/src/doors/rest.rs
@@ -0,0 +1,476 @@
+//! A client connection of the paged REST protocol: one coroutine that reads calls and answers them one after the
+//! other. Which page is whose, and until when, is decided by `larchfall_rest`; where a batch goes, by the module.
+
+use crate::intake::{self, Refused};
+use crate::state::State;
+use crate::state::clock::wait;
+use crate::state::lock;
+use crate::state::pages::{Found, Pages};
+use crate::task::{Final, Reader};
+use crate::wire::request::{self, Request};
+use larchfall::time::{At, Span};
+use larchfall_rest::call::{self, Call, Read as Got, Verb};
+use larchfall_rest::cursor::{End, Page, Settled};
+use larchfall_rest::document::{Addresses, Body, Document, Fault};
+use larchfall_rest::results::Name;
+use larchfall_rest::slug::{self, Key, Place};
+use larchfall_rest::words::{self, Worded};
+use larchfall_site::Rest;
+use may::net::{TcpListener, TcpStream};
+use nanorand::{Rng, WyRand};
+use slog::{info, warn};
+use std::io::{ErrorKind, Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// What has begun to come is whole by then, and a connection says something within it.
+const WHOLE_WITHIN: Span = Span::from_millis(2_000);
+/// Clients pause between pages; what is quiet for longer costs others their place.
+const QUIET: Span = Span::from_millis(10_000);
+/// An answer is read by then, or its client reads none.
+const READ_WITHIN: Span = Span::from_millis(10_000);
+const CHUNK: usize = 4 * 1024;
+/// A connection on which nothing comes looks this often whether this front has ended.
+const LOOK: Span = Span::from_millis(100);
+/// So many calls one after the other, and then a pause.
+const BURST: usize = 8;
+const PAUSE: Span = Span::from_millis(5);
+/// What is not taken in because this front ends is best tried again so much later, at another front.
+const ENDS: Span = Span::from_millis(1_000);
+const STATEMENT: &str = "/v1/statement";
+const JSON: &str = "application/json";
+
+/// All that the door keeps beside its connections.
+pub struct Door {
+    site: Mutex<Arc<Rest>>,
+    /// As at the start: what is open keeps its bounds.
+    connections: usize,
+    pub pages: Pages,
+    key: Key,
+    ids: Mutex<WyRand>,
+    clients: AtomicUsize,
+}
+
+impl Door {
+    /// The key is drawn from the machine's chance: whoever knows this front's seed must not know its addresses.
+    pub fn new(site: Rest, seed: u64) -> std::io::Result<Door> {
+        let mut secret = [0; 32];
+        std::fs::File::open("/dev/urandom")?.read_exact(&mut secret)?;
+        let (pages, ids) = (Pages::new(site.caps), Mutex::new(WyRand::new_seed(!seed)));
+        let (connections, clients) = (site.connections, AtomicUsize::new(0));
+        let site = Mutex::new(Arc::new(site));
+        Ok(Door { site, connections, pages, key: Key::new(&secret), ids, clients })
+    }
+
+    fn site(&self) -> Arc<Rest> {
+        lock(&self.site).clone()
+    }
+
+    /// Other words for batches from the next call on. Listener, bounds and shares change with the next start.
+    pub fn reload(&self, site: Rest) {
+        *lock(&self.site) = Arc::new(site);
+    }
+
+    pub fn clients(&self) -> usize {
+        self.clients.load(Ordering::Relaxed)
+    }
+}
+
+/// Why a connection ended: its code in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reason {
+    ClientClosed,
+    ClientReset,
+    Quiet,
+    NotWhole,
+    NotRead,
+    Malformed(&'static str),
+    Asked,
+    Stopped,
+}
+
+impl Reason {
+    fn code(self) -> &'static str {
+        match self {
+            Reason::ClientClosed => "client-closed",
+            Reason::ClientReset => "client-reset",
+            Reason::Quiet => "quiet",
+            Reason::NotWhole => "no-whole-message",
+            Reason::NotRead => "answers-not-read",
+            Reason::Malformed(_) => "malformed",
+            Reason::Asked => "asked-to-close",
+            Reason::Stopped => "stopped",
+        }
+    }
+}
+
+/// Takes connections in while the door's share of them lasts.
+pub fn accept(state: &Arc<State>, listener: &TcpListener, door: &Arc<Door>) {
+    loop {
+        if door.clients() >= door.connections || state.heart.starves_others(state.clock.now()) {
+            may::coroutine::sleep(wait(PAUSE));
+            continue;
+        }
+        match listener.accept() {
+            Ok((stream, from)) => {
+                door.clients.fetch_add(1, Ordering::Relaxed);
+                let (state, door) = (state.clone(), door.clone());
+                may::go!(move || serve(&state, &door, stream, from));
+                may::coroutine::yield_now();
+            }
+            Err(e) => {
+                warn!(state.log, "accept: {}", e);
+                may::coroutine::sleep(wait(PAUSE));
+            }
+        }
+    }
+}
+
+/// Counts a connection out, whatever ends it.
+struct Counted<'a>(&'a Door);
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.clients.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn serve(state: &Arc<State>, door: &Arc<Door>, mut stream: TcpStream, from: SocketAddr) {
+    let _place = Counted(door);
+    let _ = stream.set_nodelay(true);
+    let reason = converse(state, door, &mut stream);
+    drop(stream);
+    let detail = if let Reason::Malformed(why) = reason { why } else { "" };
+    info!(state.log, "rest connection ended";
+        "from" => from.to_string(), "reason" => reason.code(), "detail" => detail);
+}
+
+fn converse(state: &Arc<State>, door: &Arc<Door>, stream: &mut TcpStream) -> Reason {
+    let (mut input, mut calls) = (Vec::new(), 0);
+    // When what is awaited must be whole, and whether its client was told to go on.
+    let (mut until, mut told) = (state.clock.now() + WHOLE_WITHIN, false);
+    loop {
+        match call::read(&input, door.site().statement) {
+            Ok(Got::Call(call, used)) => {
+                input.drain(..used);
+                let closes = call.closes || state.is_done();
+                let bytes = handle(state, door, &call).bytes(closes, call.verb);
+                if let Err(reason) = write(stream, &bytes) {
+                    return reason;
+                }
+                if closes {
+                    return if call.closes { Reason::Asked } else { Reason::Stopped };
+                }
+                // While any coroutine is ready the worker looks for no events.
+                calls += 1;
+                while calls >= BURST || state.heart.starves_others(state.clock.now()) {
+                    calls = 0;
+                    may::coroutine::sleep(wait(PAUSE));
+                }
+                told = false;
+                let within = if input.is_empty() { QUIET } else { WHOLE_WITHIN };
+                until = state.clock.now() + within;
+                continue;
+            }
+            Ok(Got::Continue) if !told => {
+                told = true;
+                if let Err(reason) = write(stream, call::CONTINUE) {
+                    return reason;
+                }
+            }
+            Ok(_) => {}
+            Err(bad) => {
+                let fault = Answer::fault(bad.status, Fault::unusable(bad.why));
+                let _ = write(stream, &fault.bytes(true, Verb::Other));
+                return Reason::Malformed(bad.why);
+            }
+        }
+        if state.is_done() {
+            return Reason::Stopped;
+        }
+        let left = state.clock.left(until);
+        if left.is_zero() {
+            return if input.is_empty() { Reason::Quiet } else { Reason::NotWhole };
+        }
+        let _ = stream.set_read_timeout(Some(left.min(wait(LOOK))));
+        let (began, mut chunk) = (input.is_empty(), [0; CHUNK]);
+        match stream.read(&mut chunk) {
+            Ok(0) => return Reason::ClientClosed,
+            Ok(n) => {
+                calls += 1;
+                while calls >= BURST || state.heart.starves_others(state.clock.now()) {
+                    calls = 0;
+                    may::coroutine::sleep(wait(PAUSE));
+                }
+                input.extend_from_slice(&chunk[..n]);
+                if began {
+                    until = state.clock.now() + WHOLE_WITHIN;
+                }
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {}
+            Err(_) => return Reason::ClientReset,
+        }
+    }
+}
+
+fn write(stream: &mut TcpStream, bytes: &[u8]) -> Result<(), Reason> {
+    let _ = stream.set_write_timeout(Some(wait(READ_WITHIN)));
+    stream.write_all(bytes).map_err(|e| match e.kind() {
+        ErrorKind::TimedOut | ErrorKind::WouldBlock => Reason::NotRead,
+        _ => Reason::ClientReset,
+    })
+}
+
+/// An answer before it is bytes.
+struct Answer {
+    status: u16,
+    fields: Vec<(&'static str, String)>,
+    body: Vec<u8>,
+}
+
+impl Answer {
+    fn bare(status: u16) -> Answer {
+        Answer { status, fields: Vec::new(), body: Vec::new() }
+    }
+
+    /// A plain JSON error, for what has no result.
+    fn fault(status: u16, fault: Fault) -> Answer {
+        let body = serde_json::json!({ "error": fault }).to_string().into_bytes();
+        Answer { body, ..Answer::bare(status) }
+    }
+
+    /// Trying again is harmless: nothing was taken in, or nothing has run.
+    fn pushed_back(after: Option<Span>) -> Answer {
+        let ms = after.map(|a| a.micros() / 1000);
+        let seconds = ms.unwrap_or(1000).div_ceil(1000).max(1);
+        let fields = vec![("Retry-After", seconds.to_string())];
+        Answer { fields, ..Answer::fault(429, Fault::pushed_back(ms)) }
+    }
+
+    fn bytes(&self, closes: bool, verb: Verb) -> Vec<u8> {
+        let mut bytes = call::answer(self.status, &self.fields, JSON, &self.body, closes);
+        if verb == Verb::Head {
+            bytes.truncate(bytes.len() - self.body.len());
+        }
+        bytes
+    }
+}
+
+fn handle(state: &Arc<State>, door: &Arc<Door>, call: &Call) -> Answer {
+    let unknown = || Answer::fault(404, Fault::unusable("no such page"));
+    match (call.verb, call.path.as_str()) {
+        (Verb::Post, STATEMENT) => begin(state, door, call),
+        (_, STATEMENT) => {
+            let fields = vec![("Allow", "POST".to_owned())];
+            Answer { fields, ..Answer::fault(405, Fault::unusable("statements are posted")) }
+        }
+        (Verb::Get | Verb::Head, "/v1/info") => {
+            let body = br#"{"nodeVersion":{"version":"larchfall"},"coordinator":true,"starting":false}"#;
+            Answer { body: body.to_vec(), ..Answer::bare(200) }
+        }
+        (Verb::Get | Verb::Head, path) => match door.key.read(path) {
+            Some(place) => page(state, door, call, place),
+            None => unknown(),
+        },
+        (Verb::Delete, path) => match door.key.read(path) {
+            Some(place) => {
+                if let Some(left) = door.pages.leave(place.name) {
+                    give_up(state, left.batch);
+                }
+                Answer::bare(204)
+            }
+            None => unknown(),
+        },
+        _ => unknown(),
+    }
+}
+
+/// Nobody reads what this batch makes.
+pub fn give_up(state: &State, batch: Option<usize>) {
+    state.counters.rest(|c| c.results_left += 1);
+    if let Some(b) = batch {
+        state.facade.leave(b);
+    }
+}
+
+/// A statement: its first page, if that comes soon.
+fn begin(state: &Arc<State>, door: &Arc<Door>, call: &Call) -> Answer {
+    let now = state.clock.now();
+    if state.ends().is_some() {
+        let seconds = (ENDS.micros() / 1_000_000).max(1).to_string();
+        let fields = vec![("Retry-After", seconds)];
+        return Answer { fields, ..Answer::fault(503, Fault::unusable("this front ends")) };
+    }
+    let unusable = |why: String| {
+        state.counters.rest(|c| c.unusable += 1);
+        Answer::fault(400, Fault::unusable(&why))
+    };
+    if call.body.is_empty() {
+        return unusable("no statement".into());
+    }
+    let site = door.site();
+    let worded = match words::read(call, site.headers, &site.batch) {
+        Ok(worded) => worded,
+        Err(why) => return unusable(why),
+    };
+    let (number, id) = {
+        let number: u64 = lock(&door.ids).generate();
+        (number, format!("{number:016x}"))
+    };
+    let request = match request_of(&worded, number, &id, &call.body) {
+        Ok(request) => request,
+        Err(why) => return unusable(why.to_owned()),
+    };
+    let Some(name) = door.pages.begin(now) else {
+        state.counters.rest(|c| c.over_limits += 1);
+        return Answer::pushed_back(state.come_back);
+    };
+    let taken = intake::take(state, &request, now, |b| {
+        door.pages.is_made_by(name, b);
+        let (state, door, pending) = (state.clone(), door.clone(), Mutex::new(None));
+        Arc::new(Paged { state, door, name, began: now, pending })
+    });
+    match taken {
+        Ok(()) => {}
+        Err(refused) => {
+            door.pages.leave(name);
+            return match refused {
+                Refused::Unusable(why) => Answer::fault(400, Fault::unusable(part_of(why))),
+                Refused::NoRoom => Answer::pushed_back(state.come_back),
+            };
+        }
+    }
+    let place = Place { name, token: 0 };
+    match found(state, door, place, now) {
+        // No address was given out yet, so that clients which come again do so with the statement.
+        Found::Page(Page { end: Some(End::PushedBack), body, .. }, settled) => {
+            settle(state, settled);
+            door.pages.leave(name);
+            let after = body.fault.and_then(|f| f.retry_after_millis).map(Span::from_millis);
+            Answer::pushed_back(after)
+        }
+        found => answer(state, door, call, place, found),
+    }
+}
+
+/// The door's words for what the other protocol names by its fields.
+fn part_of(why: &'static str) -> &'static str {
+    match why {
+        "opkey is missing" => "reference is missing",
+        "subject is missing" => "key is missing",
+        other => other,
+    }
+}
+
+fn request_of<'a>(
+    worded: &'a Worded,
+    number: u64,
+    id: &'a str,
+    statement: &'a [u8],
+) -> Result<Request<'a>, &'static str> {
+    let reference = worded.reference.as_deref();
+    if reference.is_some_and(|r| !request::is_reference(r)) {
+        return Err("reference is unusable");
+    }
+    let part = worded.key.as_deref().map(|t| request::key(t).ok_or("key is unusable"));
+    let key = part.transpose()?;
+    let wait = worded.time_limit.as_deref().map(|t| request::wait(t).ok_or("time-limit is unusable"));
+    let work = worded.work.as_deref().map(|t| request::work(t).ok_or("work is unusable"));
+    let memory = worded.memory.as_deref().map(|t| request::memory(t).ok_or("memory is unusable"));
+    Ok(Request {
+        group: worded.group.as_deref().ok_or("group is missing")?,
+        id,
+        number,
+        customer: worded.customer.as_deref().unwrap_or(""),
+        wait: wait.transpose()?,
+        reference,
+        key,
+        work: work.transpose()?.flatten(),
+        memory_mb: memory.transpose()?.flatten(),
+        statement,
+    })
+}
+
+fn page(state: &Arc<State>, door: &Arc<Door>, call: &Call, place: Place) -> Answer {
+    let found = found(state, door, place, state.clock.now());
+    answer(state, door, call, place, found)
+}
+
+fn found(state: &State, door: &Door, place: Place, began: At) -> Found {
+    let empty = || Body { elapsed_ms: state.clock.now().since(began).micros() / 1000, ..Body::default() };
+    door.pages.ask(place, &state.clock, door.site().poll, empty)
+}
+
+fn settle(state: &State, settled: Option<Settled>) {
+    if let Some(Settled::Answered(_)) = settled {
+        state.counters.rest(|c| c.results_read += 1);
+    }
+}
+
+fn answer(state: &State, door: &Door, call: &Call, place: Place, found: Found) -> Answer {
+    let (page, settled) = match found {
+        Found::Page(page, settled) => (page, settled),
+        // Its address is one of ours, so it was there once.
+        Found::Gone | Found::Unknown => return Answer::fault(410, Fault::unusable("this page is gone")),
+    };
+    settle(state, settled);
+    let site = door.site();
+    let base = match (&site.base, call.field("host")) {
+        (Some(base), _) => base.clone(),
+        (None, Some(host)) => format!("http://{host}"),
+        (None, None) => format!("http://{}", site.listen),
+    };
+    let id = slug::id(place.name);
+    let next = page.end.is_none().then(|| {
+        let next = Place { token: page.token + 1, ..place };
+        format!("{base}{}", door.key.path(next))
+    });
+    let to = Addresses { id: &id, info: format!("{base}/ui/query.html?{id}"), next };
+    Answer { body: Document::of(&page.body, page.end, to).json(), ..Answer::bare(200) }
+}
+
+/// The reader of one result: the last rows are held back until it is known whether they are the last.
+struct Paged {
+    state: Arc<State>,
+    door: Arc<Door>,
+    name: Name,
+    began: At,
+    pending: Mutex<Option<Vec<u8>>>,
+}
+
+impl Paged {
+    fn body(&self, rows: Vec<u8>, fault: Option<Fault>) -> Body {
+        let elapsed_ms = self.state.clock.now().since(self.began).micros() / 1000;
+        Body { rows, fault, elapsed_ms }
+    }
+}
+
+impl Reader for Paged {
+    fn has_room(&self) -> bool {
+        self.door.pages.has_room(self.name)
+    }
+
+    fn rows(&self, rows: Vec<u8>) {
+        if let Some(before) = lock(&self.pending).replace(rows) {
+            self.door.pages.push(self.name, self.body(before, None), None);
+        }
+    }
+
+    fn begin_anew(&self) -> bool {
+        *lock(&self.pending) = None;
+        self.door.pages.begin_anew(self.name)
+    }
+
+    fn end(&self, end: Final) -> bool {
+        let rows = lock(&self.pending).take();
+        let (rows, fault, end) = match end {
+            Final::Returned => (rows.unwrap_or_default(), None, End::Returned),
+            Final::PushedBack(wait) => {
+                (Vec::new(), Some(Fault::pushed_back(wait.map(|w| w.micros() / 1000))), End::PushedBack)
+            }
+            Final::Errored(why) => (Vec::new(), Some(Fault::errored(why)), End::Errored),
+        };
+        self.door.pages.push(self.name, self.body(rows, fault), Some(end))
+    }
+}
--- a/front/src/client.rs
+++ b/front/src/doors/rpc.rs
@@ -1,20 +1,19 @@
-//! A client connection: one coroutine reads its messages and is the one writer of its answers.
+//! A client connection of MessagePack-RPC: one coroutine reads its messages and is the one writer of its answers.
 
-use crate::batch::{self, Task};
-use crate::state::State;
+use crate::intake::{self, Refused};
 use crate::state::clock::wait;
-use crate::state::facade::NotTaken;
 use crate::state::peer::{Opening, Peer};
-use crate::wire::rpc::{self, Message, Request, Scan};
-use crate::wire::statement::table_group;
-use larchfall::interface::{Batch, Place};
+use crate::state::{State, lock};
+use crate::task::{Final, Reader};
+use crate::wire::request::Request;
+use crate::wire::rpc::{self, Message, Scan};
 use larchfall::time::{At, Span};
 use may::io::WaitIo;
 use may::net::TcpStream;
 use slog::info;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 /// Clients close what is idle after 4 s; what some keep beyond that for good costs others their place.
 pub const QUIET: Span = Span::from_millis(5_000);
@@ -23,12 +22,6 @@
 /// A message that has begun, or the first one of a connection, is whole by then: against those that connect and
 /// say nothing, or stop half way, and hold a descriptor.
 pub const WHOLE_WITHIN: Span = Span::from_millis(2_000);
-/// The way of a batch to here and of its answer back, in a busy moment: what is owed leaves this much before
-/// its client gives up.
-const WAY: Span = Span::from_millis(60);
-/// Clients write requests of one key apart from each other, up to this much after one that came on a new
-/// connection, and the time of one that they hold back runs meanwhile.
-const KEYS_APART: Span = Span::from_millis(250);
 /// So many reads or writes one after the other, and then a pause.
 const BURST: usize = 8;
 const PAUSE: Span = Span::from_millis(5);
@@ -241,73 +234,52 @@
     Ok(())
 }
 
-/// The batch that a request means, unless the settings know no such thing: an engine could not use it either,
-/// and would be blamed for the error. Its time counts from when it may have been sent.
-fn batch_of(state: &State, request: &Request, sent: At) -> Result<Batch, &'static str> {
-    let known = |list: &[String], name: &str| list.iter().position(|n| n == name);
-    let group = known(&state.names.groups, request.group).ok_or("unknown service group")?;
-    let customer = known(&state.names.customers, request.customer);
-    if customer.is_none() && !state.names.customers.is_empty() {
-        return Err("unknown customer");
+/// A batch of this connection: its rows wait here until all have come, since an answer holds them whole.
+struct Whole {
+    peer: Arc<Peer>,
+    message: u32,
+    rows: Mutex<Vec<u8>>,
+}
+
+impl Reader for Whole {
+    fn has_room(&self) -> bool {
+        true
+    }
+
+    fn rows(&self, mut rows: Vec<u8>) {
+        let mut all = lock(&self.rows);
+        if all.is_empty() {
+            *all = rows;
+        } else {
+            all.append(&mut rows);
+        }
     }
-    if state.referenced[group] && request.reference.is_none() {
-        return Err("opkey is missing");
+
+    fn begin_anew(&self) -> bool {
+        *lock(&self.rows) = Vec::new();
+        true
     }
-    if state.in_order[group] && request.key.is_none() {
-        return Err("subject is missing");
+
+    fn end(&self, end: Final) -> bool {
+        let rows = std::mem::take(&mut *lock(&self.rows));
+        let answer = match end {
+            Final::Returned => rpc::Answer::Returned(&rows),
+            Final::PushedBack(wait) => rpc::Answer::PushedBack(wait),
+            Final::Errored(why) => rpc::Answer::Errored(why),
+        };
+        self.peer.answer(self.message, &answer)
     }
-    let held_back = if request.key.is_some() { KEYS_APART } else { Span::ZERO };
-    let limit = (sent + request.wait.min(state.group_limits[group]) - WAY - held_back).max(sent);
-    Ok(Batch {
-        group,
-        customer,
-        key: request.key,
-        time_limit: state.ends().map_or(limit, |ends| limit.min(ends)),
-        work: request.work,
-        memory_mb: request.memory_mb,
-        data_set: table_group(request.statement).unwrap_or(0),
-    })
 }
 
-/// Takes a batch in. It is picked for here, in the order of reading, so that keys keep their order.
 fn take(state: &Arc<State>, peer: &Arc<Peer>, message: u32, request: &Request, sent: At) {
-    let unusable = |why| {
-        state.counters.rest(|c| c.unusable += 1);
-        peer.say(message, &rpc::Answer::Errored(why));
-    };
-    let batch = match batch_of(state, request, sent) {
-        Ok(batch) => batch,
-        Err(why) => return unusable(why),
-    };
-    let (group, limit) = (batch.group, batch.time_limit);
-    state.counters.group(group, |c| c.taken += 1);
-    let b = match state.facade.take(request.number, batch) {
-        Ok(b) => b,
-        Err(NotTaken::InHand) => return unusable("this id is in hand already"),
-        Err(NotTaken::NoRoom) => {
-            state.counters.group(group, |c| c.pushed_back += 1);
-            return over_limits(state, peer, message);
-        }
-    };
-    peer.open(message, b);
-    let task = Task {
-        message,
-        id: request.id.to_owned(),
-        group,
-        in_order: state.in_order[group],
-        limit,
-        reference: request.reference.map(str::to_owned),
-        statement: request.statement.to_vec(),
-    };
-    let first = state.facade.pick(b);
-    match first {
-        // What ends at once needs no coroutine.
-        Place::PushBack(_) | Place::Error => batch::run(state, peer, &task, b, first),
-        _ => {
-            state.counters.rest(|c| c.most_in_hand = c.most_in_hand.max(state.facade.in_hand()));
-            let (state, peer) = (state.clone(), peer.clone());
-            may::go!(move || batch::run(&state, &peer, &task, b, first));
-        }
+    let taken = intake::take(state, request, sent, |b| {
+        peer.open(message, b);
+        Arc::new(Whole { peer: peer.clone(), message, rows: Mutex::default() })
+    });
+    match taken {
+        Ok(()) => {}
+        Err(Refused::Unusable(why)) => peer.say(message, &rpc::Answer::Errored(why)),
+        Err(Refused::NoRoom) => over_limits(state, peer, message),
     }
 }
 
--- a/front/src/dispatch.rs
+++ b/front/src/engines/platform.rs
@@ -1,10 +1,10 @@
 //! One dispatch: from its seat and its one call to an engine to its outcome.
 
-use crate::batch::Task;
-use crate::link::{Fault, Link, NoLink};
+use crate::engines::link::{Fault, Link, NoLink};
 use crate::state::State;
 use crate::state::clock::wait;
 use crate::state::engines::Home;
+use crate::task::{Ended, Task};
 use crate::wire::http::{self, Reply, Start};
 use larchfall::interface::{Dispatch, Last, Note, Outcome, Place, Report, Seen};
 use larchfall::policy::account::proves_over;
@@ -22,6 +22,8 @@
 /// An engine gives up what was not asked for in 2 s. A call that was cut off may be held back there for 250 ms,
 /// and ask all that time; the rest is for its own clock and the way there.
 pub const FORGOTTEN_AFTER: Span = Span::from_millis(2400);
+/// While a reader has no room, the engine is asked this often.
+const ASK_WITHIN: Span = Span::from_millis(1000);
 const PAUSE: Span = Span::from_millis(20);
 /// What was picked longer ago is not sent to an engine that drains by now: its grace runs.
 const FRESH: Span = Span::from_millis(600);
@@ -34,19 +36,10 @@
 const PAGE_TRIES: usize = 4;
 const MOST_PAGES: u32 = 64;
 
-/// What a dispatch came to.
-pub struct Ended {
-    pub outcome: Outcome,
-    /// Of a good one.
-    pub rows: Vec<u8>,
-    pub report: Report,
-    pub seen: Seen,
-}
-
 /// Of which nothing left.
 pub fn not_sent(outcome: Outcome) -> Ended {
     let seen = Seen { last: Last::NotSent, same: true, asked: At::default() };
-    Ended { outcome, rows: Vec::new(), report: Report::default(), seen }
+    Ended { outcome, report: Report::default(), seen, torn: false }
 }
 
 /// What a look around between two calls found.
@@ -260,10 +253,13 @@
             return self.lose(link, Outcome::Errored, report);
         }
         link = self.keep(link, first.closes);
-        let mut rows = first.body;
+        self.task.reader.rows(first.body);
         for number in 1..pages {
+            if let Some(end) = self.wait_for_reader(&mut link, report) {
+                return end;
+            }
             match self.page(&mut link, number) {
-                Some(page) => rows.extend_from_slice(&page),
+                Some(page) => self.task.reader.rows(page),
                 None => {
                     let late = self.state.clock.now() >= self.until();
                     let outcome = if late { Outcome::TimedOut } else { Outcome::Errored };
@@ -273,7 +269,35 @@
             }
         }
         self.done(link);
-        Ended { rows, report, ..self.end(Last::Ended, Outcome::Returned) }
+        Ended { report, ..self.end(Last::Ended, Outcome::Returned) }
+    }
+
+    /// Fetches no more than the reader has room for. The engine is asked meanwhile, or it would forget the result.
+    fn wait_for_reader(&self, link: &mut Option<Link>, report: Report) -> Option<Ended> {
+        while !self.task.reader.has_room() {
+            may::coroutine::sleep(wait(PAUSE));
+            let outcome = match self.look() {
+                Look::GoOn => None,
+                Look::CallOff => Some(Outcome::CalledOff),
+                Look::TimedOut => Some(Outcome::TimedOut),
+            };
+            if let Some(outcome) = outcome {
+                return Some(self.lose(link.take(), outcome, report));
+            }
+            if self.state.clock.now().since(self.asked.get()) >= ASK_WITHIN {
+                if link.is_none() {
+                    *link = self.link(self.until()).ok();
+                }
+                if let Some(mut open) = link.take() {
+                    let ask = http::page(self.home.address, &self.task.id, 0);
+                    let reply = self.call(&mut open, &ask, NEWS_WITHIN);
+                    *link = reply.ok().and_then(|reply| self.keep(Some(open), reply.closes));
+                }
+                // What is not there any more shows when the next page is asked for.
+                self.asked.set(self.state.clock.now());
+            }
+        }
+        None
     }
 
     /// An end with what was last seen of it. What does not prove that nothing runs leaves a line.
@@ -283,16 +307,18 @@
             info!(self.state.log, "end not seen: {:?}", last; "id" => &self.task.id, "dispatch" => self.number,
                 "engine" => self.to.engine, "address" => self.home.address.to_string());
         }
-        Ended { outcome, rows: Vec::new(), report: Report::default(), seen }
+        Ended { outcome, report: Report::default(), seen, torn: false }
     }
 
-    /// The engine keeps what was not fetched, and counts the query as out until it is told.
+    /// The engine keeps what was not fetched, and counts the query as out until it is told. What its reader has
+    /// handed on already ends the batch.
     fn lose(&self, link: Option<Link>, outcome: Outcome, report: Report) -> Ended {
+        let torn = !self.task.reader.begin_anew();
         if self.task.in_order {
-            return Ended { report, ..self.give_up(link, GIVE_UP_WITHIN, outcome) };
+            return Ended { report, torn, ..self.give_up(link, GIVE_UP_WITHIN, outcome) };
         }
         self.give_up_beside(link);
-        Ended { report, ..self.end(Last::Silent, outcome) }
+        Ended { report, torn, ..self.end(Last::Silent, outcome) }
     }
 
     fn page(&self, link: &mut Option<Link>, number: u32) -> Option<Vec<u8>> {
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -1,12 +1,14 @@
-//! The real front: larchfall's decisions on real sockets. `wire` turns bytes into small typed values, `state`
-//! is what memory keeps, `run` starts and stops; beside them the coroutines.
+//! The real front: larchfall's decisions on real sockets. `doors` is what clients speak, `engines` what engines
+//! speak, between them a batch on its way; `wire` turns bytes into small typed values, `state` is what memory keeps,
+//! `run` starts and stops; beside them the coroutines.
 
 pub mod batch;
 pub mod board;
-pub mod client;
-pub mod dispatch;
-pub mod link;
+pub mod doors;
+pub mod engines;
+pub mod intake;
 pub mod run;
 pub mod state;
+pub mod task;
 pub mod timer;
 pub mod wire;
--- a/front/src/run/reload.rs
+++ b/front/src/run/reload.rs
@@ -3,13 +3,15 @@
 
 use super::config::{self, Config};
 use crate::board;
+use crate::doors::rest::Door;
 use crate::state::State;
 use crate::state::clock::wait;
 use larchfall::time::Span;
+use larchfall_site::Site;
 use may::io::CoIo;
 use may::sync::mpsc;
 use slog::{info, warn};
-use std::io::Read;
+use std::io::Read as _;
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
 
@@ -17,11 +19,35 @@
 const TRIES: usize = 5;
 const PAUSE: Span = Span::from_millis(100);
 
+/// What is read again.
+#[derive(Clone)]
+pub struct Files {
+    pub config: String,
+    pub site: Option<String>,
+}
+
+/// Both files as they were read, on the heap: a channel lays out room for many results at once, on a coroutine's
+/// small stack.
+struct Read {
+    config: Box<Config>,
+    site: Box<Site>,
+}
+
 /// Follows the signal for good; each byte is one.
-pub fn on_signal(state: &Arc<State>, mut asked: CoIo<UnixStream>, file: &str, seed: u64) {
+pub fn on_signal(
+    state: &Arc<State>,
+    mut asked: CoIo<UnixStream>,
+    files: &Files,
+    door: Option<&Arc<Door>>,
+    seed: u64,
+) {
     let mut byte = [0];
     while matches!(asked.read(&mut byte), Ok(1)) {
-        if let Some(config) = read(state, file) {
+        // Both files or neither: each is checked against the other.
+        if let Some(Read { config, site }) = read(state, files) {
+            if let Some((door, rest)) = door.zip(site.rest) {
+                door.reload(rest);
+            }
             for event in &config.known {
                 board::take(state, event);
             }
@@ -34,20 +60,24 @@
     }
 }
 
-/// Reads the file on a thread of its own: neither the disk nor a long list may hold up the one worker.
-/// Boxed: a channel lays out room for many results at once, on a coroutine's small stack.
-fn read(state: &State, file: &str) -> Option<Box<Config>> {
+/// Reads the files on a thread of its own: neither the disk nor a long list may hold up the one worker.
+fn read(state: &State, files: &Files) -> Option<Read> {
     for attempt in 1..=TRIES {
         let (done, result) = mpsc::channel();
-        let path = file.to_owned();
+        let files = files.clone();
         let started = std::thread::Builder::new().spawn(move || {
-            let _ = done.send(config::read(&path).map(Box::new));
+            let both = config::read(&files.config).and_then(|config| {
+                let site = files.site.map(|file| larchfall_site::read(&file, &config.settings.names));
+                let (config, site) = (Box::new(config), Box::new(site.transpose()?.unwrap_or_default()));
+                Ok(Read { config, site })
+            });
+            let _ = done.send(both);
         });
         let read = started.map_err(|e| e.to_string()).and_then(|_| {
             result.recv().unwrap_or_else(|_| Err("the thread that reads it panicked".to_owned()))
         });
         match read {
-            Ok(config) => return Some(config),
+            Ok(read) => return Some(read),
             Err(why) => warn!(state.log, "configuration not taken: {}", why; "attempt" => attempt),
         }
         may::coroutine::sleep(wait(PAUSE));
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -2,7 +2,9 @@
 
 use super::config::Config;
 use super::{log, reload, stop};
-use crate::dispatch::FORGOTTEN_AFTER;
+use crate::doors::rest::{self, Door};
+use crate::doors::rpc;
+use crate::engines::platform::FORGOTTEN_AFTER;
 use crate::state::State;
 use crate::state::clock::{Clock, wait};
 use crate::state::counters::Counters;
@@ -10,12 +12,14 @@
 use crate::state::heart::Heart;
 use crate::state::peer::Peers;
 use crate::state::pool::Pool;
-use crate::{board, client, timer};
+use crate::{board, timer};
 use larchfall::interface::{Caps, Effect};
 use larchfall::policy::Policy;
 use larchfall::time::Span;
+use larchfall_site::Site;
 use may::net::TcpListener;
 use slog::{info, warn};
+use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
 
@@ -29,18 +33,24 @@
 const FRESH: Span = Span::from_millis(50);
 
 /// Runs a front to its end; a failure with the exit code for it.
-pub fn run(file: String, config: Config) -> Result<(), (u8, String)> {
+pub fn run(file: String, config: Config, site: Option<(String, Site)>) -> Result<(), (u8, String)> {
     may::config().set_workers(1).set_stack_size(STACK / size_of::<usize>()).set_worker_pin(false);
     let address = config.listen;
-    // may's listener shares its port with any other of ours; a plain one finds out whether the port is free.
-    let listener = std::net::TcpListener::bind(address)
-        .map(drop)
-        .and_then(|()| TcpListener::bind(address))
-        .map_err(|e| (2, format!("listen: {address}: {e}")))?;
+    let listener = listen(address)?;
+    let (site_file, rest) = site.map_or((None, None), |(file, site)| (Some(file), site.rest));
+    let rest = match rest {
+        Some(site) => {
+            let door = Door::new(site.clone(), config.seed).map_err(|e| (1, format!("/dev/urandom: {e}")))?;
+            Some((Arc::new(door), listen(site.listen)?, site))
+        }
+        None => None,
+    };
+    let limits = config.limits.share(rest.as_ref().map_or(0, |(_, _, site)| site.connections));
+    let limits = limits.ok_or((2, "rest.connections: none are left for MessagePack-RPC".to_owned()))?;
     let (log, _writes_the_rest) = log::start(&config.name);
     let (seed, board_address) = (config.seed, config.board);
     let known = config.known;
-    let state = Arc::new(start(config.settings, config.limits, seed, log));
+    let state = Arc::new(start(config.settings, limits, seed, log));
     for event in &known {
         board::take(&state, event);
     }
@@ -48,21 +58,32 @@
     let mut signals = stop::Signals::listen().map_err(|e| (1, format!("signals: {e}")))?;
     info!(state.log, "listening"; "clients" => state.limits.clients, "engine_links" => state.limits.engine_links,
         "batches" => state.limits.batches, "address" => listener.local_addr().unwrap_or(address.into()).to_string());
+    if let Some((_, listener, site)) = &rest {
+        info!(state.log, "listening for rest"; "connections" => site.connections, "results" => site.caps.results,
+            "address" => listener.local_addr().unwrap_or(site.listen.into()).to_string());
+    }
     let main = {
         let state = state.clone();
         may::go!(move || {
             let (s1, s2, s3) = (state.clone(), state.clone(), state.clone());
-            may::go!(move || timer::run(&s1));
+            let door = rest.as_ref().map(|(door, ..)| door.clone());
+            let of_timer = door.clone();
+            may::go!(move || timer::run(&s1, of_timer.as_ref()));
             let era = s2.next_board();
             may::go!(move || board::follow(&s2, board_address, seed, era));
             if let Some(asked) = signals.reload.take() {
-                let state = state.clone();
-                may::go!(move || reload::on_signal(&state, asked, &file, seed));
+                let (state, door) = (state.clone(), door.clone());
+                let files = reload::Files { config: file, site: site_file };
+                may::go!(move || reload::on_signal(&state, asked, &files, door.as_ref(), seed));
             }
             let looker = state.clone();
             may::go!(move || timer::look_for_events(&looker, looks));
             may::go!(move || accept(&s3, &listener));
-            stop::until_ended(&state, signals);
+            if let Some((door, listener, _)) = rest {
+                let state = state.clone();
+                may::go!(move || rest::accept(&state, &listener, &door));
+            }
+            stop::until_ended(&state, signals, door.as_ref());
         })
     };
     let ended = main.join();
@@ -70,6 +91,12 @@
     ended.map_err(|_| (1, "the coroutine that waits for signals panicked".to_owned()))
 }
 
+/// may's listener shares its port with any other of ours; a plain one finds out whether the port is free.
+fn listen(address: SocketAddrV4) -> Result<TcpListener, (u8, String)> {
+    let free = std::net::TcpListener::bind(address).map(drop);
+    free.and_then(|()| TcpListener::bind(address)).map_err(|e| (2, format!("listen: {address}: {e}")))
+}
+
 fn start(
     s: larchfall_settings::Settings,
     limits: crate::state::limits::Limits,
@@ -119,8 +146,8 @@
         }
         match listener.accept() {
             Ok((stream, from)) => {
-                let (state, joined) = (state.clone(), client::join(state, stream, from));
-                may::go!(move || client::serve(&state, joined));
+                let (state, joined) = (state.clone(), rpc::join(state, stream, from));
+                may::go!(move || rpc::serve(&state, joined));
                 may::coroutine::yield_now();
             }
             Err(e) => {
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -1,6 +1,7 @@
 //! Signals, and the end: a front that was told to stop goes on serving for as long as clients may still come,
 //! answers what it holds, and ends before it can be killed.
 
+use crate::doors::rest::Door;
 use crate::state::State;
 use crate::state::clock::wait;
 use larchfall::time::Span;
@@ -20,7 +21,7 @@
 const KILL_AFTER: Span = Span::from_millis(700);
 /// What is left then has this long to get its answer.
 const LAST_ANSWERS: Span = Span::from_millis(400);
-const LAST_LINES: Span = Span::from_millis(100);
+const LAST_LINES: Span = Span::from_millis(200);
 const LOOK: Span = Span::from_millis(20);
 
 /// Signals as bytes on a stream, so that a coroutine can wait for them.
@@ -45,7 +46,7 @@
 }
 
 /// Blocks until this front has ended.
-pub fn until_ended(state: &Arc<State>, signals: Signals) {
+pub fn until_ended(state: &Arc<State>, signals: Signals, door: Option<&Arc<Door>>) {
     let Signals { mut term, mut ask, .. } = signals;
     let asked = state.clone();
     may::go!(move || {
@@ -64,7 +65,9 @@
     loop {
         may::coroutine::sleep(wait(LOOK));
         let now = state.clock.now();
-        let done = state.facade.in_hand() == 0 && state.peers.are_idle();
+        // Half-read results go on until then.
+        let read = door.is_none_or(|door| door.pages.open().0 == 0);
+        let done = state.facade.in_hand() == 0 && state.peers.are_idle() && read;
         if (done && now.since(told) >= CLIENTS_COME) || now >= killed {
             break;
         }
@@ -74,7 +77,8 @@
     state.done.store(true, Ordering::Relaxed);
     state.peers.wake_quiet(state.clock.now(), state.clock.now());
     let until = state.clock.now() + LAST_LINES;
-    while !state.peers.is_empty() && state.clock.now() < until {
+    let open = || state.peers.len() + door.map_or(0, |door| door.clients());
+    while open() > 0 && state.clock.now() < until {
         may::coroutine::sleep(wait(LOOK));
     }
 }
--- a/front/src/state/counters.rs
+++ b/front/src/state/counters.rs
@@ -1,6 +1,7 @@
 //! Counts of what was taken in, sent and answered, by service group and outcome.
 
 use super::lock;
+use crate::task::Final;
 use larchfall::interface::Outcome;
 use std::sync::Mutex;
 
@@ -32,6 +33,9 @@
     pub pings: u64,
     pub probes: u64,
     pub board_events: u64,
+    /// Paged results whose last page was handed out, and those that their clients left.
+    pub results_read: u64,
+    pub results_left: u64,
     pub most_in_hand: usize,
     pub most_clients: usize,
     pub most_links: usize,
@@ -61,6 +65,15 @@
         }
     }
 
+    /// A batch whose client was still there.
+    pub fn ended(&self, g: usize, end: Final) {
+        self.group(g, |c| match end {
+            Final::Returned => c.returned += 1,
+            Final::PushedBack(_) => c.pushed_back += 1,
+            Final::Errored(_) => c.errored += 1,
+        });
+    }
+
     pub fn outcome(&self, g: usize, outcome: Outcome) {
         let at = OUTCOMES.iter().position(|(o, _)| *o == outcome).unwrap_or(0);
         self.group(g, |c| {
@@ -96,9 +109,9 @@
             .collect();
         let r = lock(&self.rest);
         lines.push(format!(
-            "connections={} unusable={} over_limits={} pings={} probes={} board_events={} most_in_hand={} most_clients={} most_links={} most_lag_ms={}",
+            "connections={} unusable={} over_limits={} pings={} probes={} board_events={} results_read={} results_left={} most_in_hand={} most_clients={} most_links={} most_lag_ms={}",
             r.connections, r.unusable,
-            r.over_limits, r.pings, r.probes, r.board_events, r.most_in_hand, r.most_clients, r.most_links,
+            r.over_limits, r.pings, r.probes, r.board_events, r.results_read, r.results_left, r.most_in_hand, r.most_clients, r.most_links,
             r.most_lag_ms
         ));
         lines
--- a/front/src/state/limits.rs
+++ b/front/src/state/limits.rs
@@ -22,6 +22,12 @@
 }
 
 impl Limits {
+    /// With so many of the clients' connections left to another protocol; `None` when too few stay.
+    pub fn share(self, others: usize) -> Option<Limits> {
+        let clients = self.clients.checked_sub(others).filter(|left| *left > 0)?;
+        Some(Limits { clients, ..self })
+    }
+
     /// `None` when the machine is too small to serve anybody.
     pub fn new(memory_mb: usize, sockets: usize) -> Option<Limits> {
         let open = sockets.checked_sub(REST)?;
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -7,6 +7,7 @@
 pub mod facade;
 pub mod heart;
 pub mod limits;
+pub mod pages;
 pub mod peer;
 pub mod pool;
 pub mod seats;
--- a/front/src/state/pool.rs
+++ b/front/src/state/pool.rs
@@ -4,7 +4,7 @@
 use super::engines::Home;
 use super::lock;
 use super::seats::Seats;
-use crate::link::Link;
+use crate::engines::link::Link;
 use larchfall::time::{At, Span};
 use std::collections::BTreeMap;
 use std::sync::Mutex;
--- a/front/src/timer.rs
+++ b/front/src/timer.rs
@@ -1,7 +1,8 @@
 //! The one timer: the module's tick, the due times of batches that rest, and what is looked at each tick.
 
-use crate::client::{QUIET, WHOLE_WITHIN};
-use crate::dispatch;
+use crate::doors::rest;
+use crate::doors::rpc::{QUIET, WHOLE_WITHIN};
+use crate::engines::platform;
 use crate::state::State;
 use crate::state::clock::wait;
 use crate::state::facade::TICK;
@@ -13,7 +14,7 @@
 use std::io::{self, ErrorKind, Read};
 use std::sync::Arc;
 
-pub fn run(state: &Arc<State>) {
+pub fn run(state: &Arc<State>, door: Option<&Arc<rest::Door>>) {
     let blocker = Blocker::current();
     let mut next_tick = state.clock.now() + TICK;
     loop {
@@ -24,6 +25,9 @@
         }
         if now >= next_tick {
             tick(state);
+            if let Some(door) = door {
+                door.pages.expire(now).iter().for_each(|left| rest::give_up(state, left.batch));
+            }
             // Ticks that a stall left out are not made up for.
             next_tick = (next_tick + TICK).max(now + Span::from_millis(1));
         }
@@ -60,7 +64,7 @@
 fn tick(state: &Arc<State>) {
     for e in state.facade.tick() {
         let state = state.clone();
-        may::go!(move || dispatch::probe(&state, e));
+        may::go!(move || platform::probe(&state, e));
     }
     for line in state.facade.log_lines() {
         info!(state.log, "module: {}", line);
--- a/front/src/wire/mod.rs
+++ b/front/src/wire/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod board;
 pub mod http;
+pub mod request;
 pub mod rpc;
 pub mod statement;
--- a/front/src/wire/rpc.rs
+++ b/front/src/wire/rpc.rs
@@ -1,5 +1,6 @@
 //! MessagePack-RPC as clients speak it.
 
+use super::request::{self, Request};
 use larchfall::time::Span;
 use rmp::Marker;
 use rmpv::ValueRef;
@@ -8,12 +9,6 @@
 
 /// A message holds a statement and a few fields; what is longer is no message of ours.
 pub const LONGEST: usize = 128 * 1024;
-/// No wait or work of a day and no memory of a terabyte is meant: what is beyond is no figure of ours, and would
-/// only reach an engine that can't use it.
-const MOST_MS: f64 = 86_400_000.0;
-const MOST_MB: f64 = 1_048_576.0;
-/// Hex digits of a request's id, and of a key at most.
-const ID_DIGITS: usize = 16;
 /// Levels of values within each other: a message, its parameters, the fields, and some to spare.
 const LEVELS: usize = 8;
 /// Deep enough for every message of the protocol, each value taking up to three steps of the reader; deeper
@@ -30,22 +25,6 @@
     Unusable(u32, &'static str),
 }
 
-/// One batch as its client words it.
-#[derive(Debug, PartialEq)]
-pub struct Request<'a> {
-    pub group: &'a str,
-    pub id: &'a str,
-    /// The same as a number.
-    pub number: u64,
-    pub customer: &'a str,
-    pub wait: Span,
-    pub reference: Option<&'a str>,
-    pub key: Option<u64>,
-    pub work: Option<Span>,
-    pub memory_mb: Option<f64>,
-    pub statement: &'a [u8],
-}
-
 /// How far the first message in some bytes has been looked through, so that what comes in pieces is not read from its
 /// start again at each: messages without end cost their length, not its square.
 #[derive(Debug, Default)]
@@ -168,7 +147,7 @@
             if method == "ping" {
                 return Ok(Message::Ping(id));
             }
-            Ok(match request(method, params) {
+            Ok(match batch(method, params) {
                 Ok(request) => Message::Batch(id, request),
                 Err(why) => Message::Unusable(id, why),
             })
@@ -182,22 +161,7 @@
     }
 }
 
-/// Whether a text may stand in a head of HTTP as it is.
-fn plain(text: &str, longest: usize) -> bool {
-    !text.is_empty() && text.len() <= longest && text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
-}
-
-/// Digits alone: a number's own reader takes signs as well.
-fn hex(text: &str) -> Option<u64> {
-    let digits = text.len() <= ID_DIGITS && text.bytes().all(|b| b.is_ascii_hexdigit());
-    u64::from_str_radix(text, 16).ok().filter(|_| digits)
-}
-
-fn figure(text: &str, most: f64) -> Option<f64> {
-    text.parse::<f64>().ok().filter(|n| (0.0..=most).contains(n))
-}
-
-fn request<'a>(group: &'a str, params: &[ValueRef<'a>]) -> Result<Request<'a>, Malformed> {
+fn batch<'a>(group: &'a str, params: &[ValueRef<'a>]) -> Result<Request<'a>, Malformed> {
     let [ValueRef::Map(fields), body] = params else { return Err("wanted fields and a body") };
     let ValueRef::Binary(statement) = body else { return Err("body is no bin") };
     // A field that is there in another form is no field that was left out.
@@ -207,30 +171,29 @@
     };
     let bad_id = "req is missing or unusable";
     let id = field("req", bad_id)?.ok_or(bad_id)?;
-    let number = hex(id).filter(|_| id.len() == ID_DIGITS).ok_or(bad_id)?;
+    let number = request::id(id).ok_or(bad_id)?;
     let bad_wait = "timeout is missing or unusable";
-    let wait = field("timeout", bad_wait)?.and_then(|t| figure(t, MOST_MS)).filter(|ms| *ms >= 1.0);
+    let wait = field("timeout", bad_wait)?.and_then(request::wait).ok_or(bad_wait)?;
     let bad_reference = "opkey is unusable";
     let reference = field("opkey", bad_reference)?;
-    if reference.is_some_and(|r| !plain(r, 128)) {
+    if reference.is_some_and(|r| !request::is_reference(r)) {
         return Err(bad_reference);
     }
     let bad_key = "subject is unusable";
-    let key = field("subject", bad_key)?.map(|s| hex(s).ok_or(bad_key)).transpose()?;
-    let hint = |name, most, why| {
-        let said = field(name, why)?.map(|text| figure(text, most).ok_or(why)).transpose()?;
-        Ok::<_, Malformed>(said.filter(|n| *n > 0.0))
-    };
+    let key = field("subject", bad_key)?.map(|s| request::key(s).ok_or(bad_key)).transpose()?;
+    let (bad_work, bad_memory) = ("ms is unusable", "est_mb is unusable");
+    let work = field("ms", bad_work)?.map(|t| request::work(t).ok_or(bad_work)).transpose()?;
+    let memory = field("est_mb", bad_memory)?.map(|t| request::memory(t).ok_or(bad_memory)).transpose()?;
     Ok(Request {
         group,
         id,
         number,
         customer: field("owner", "owner is unusable")?.unwrap_or(""),
-        wait: Span::from_secs(wait.ok_or(bad_wait)? / 1e3),
+        wait: Some(wait),
         reference,
         key,
-        work: hint("ms", MOST_MS, "ms is unusable")?.map(|n| Span::from_secs(n / 1e3)),
-        memory_mb: hint("est_mb", MOST_MB, "est_mb is unusable")?,
+        work: work.flatten(),
+        memory_mb: memory.flatten(),
         statement,
     })
 }
@@ -245,17 +208,6 @@
     Pong,
 }
 
-impl Answer<'_> {
-    pub fn word(&self) -> &'static str {
-        match self {
-            Answer::Returned(_) => "returned",
-            Answer::PushedBack(_) => "pushed back",
-            Answer::Errored(_) => "errored",
-            Answer::Pong => "pong",
-        }
-    }
-}
-
 /// Writing into a vector cannot fail, so the results of the writers below say nothing.
 pub fn encode(out: &mut Vec<u8>, id: u32, answer: &Answer) {
     use rmp::encode::*;
--- a/front/tests/front/codecs.rs
+++ b/front/tests/front/codecs.rs
@@ -37,7 +37,7 @@
     let twice = [&input[..], &input[..]].concat();
     let Ok(Some((Message::Batch(7, r), used))) = rpc::decode(&twice) else { panic!("no batch") };
     assert_eq!((used, r.group, r.id, r.customer), (input.len(), "report", "9b1f03aa5c7e2d41", "acme"));
-    assert_eq!((r.wait, r.work), (Span::from_millis(1500), Some(Span::from_micros(820_500))));
+    assert_eq!((r.wait, r.work), (Some(Span::from_millis(1500)), Some(Span::from_micros(820_500))));
     assert_eq!((r.memory_mb, r.key), (Some(96.0), Some(0x7f3a_9c21_e0b4_d655)));
     assert_eq!((r.reference, r.statement), (Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), &b"select 1"[..]));
 }
--- a/front/tests/front/common.rs
+++ b/front/tests/front/common.rs
@@ -3,6 +3,7 @@
 use larchfall_toy::board::{Board, Listed, frame};
 use larchfall_toy::client::Client;
 use larchfall_toy::engine::Engine;
+use larchfall_toy::rest::RestClient;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -85,9 +86,16 @@
 pub struct Front {
     child: Child,
     pub address: SocketAddr,
+    /// Where it listens for the paged protocol, if it does.
+    pub rest: Option<SocketAddr>,
     pub log: Arc<Lines>,
     pub board: Board,
     file: std::path::PathBuf,
+    site_file: std::path::PathBuf,
+}
+
+fn address_in(line: &str) -> SocketAddr {
+    line.split("address: ").nth(1).unwrap().split(',').next().unwrap().parse().unwrap()
 }
 
 impl Front {
@@ -103,17 +111,24 @@
     }
 
     pub fn start_with(board: Board, text: &str) -> Front {
+        Front::start_site(board, text, None)
+    }
+
+    /// With the operator's own settings beside the configuration.
+    pub fn start_site(board: Board, text: &str, site: Option<&str>) -> Front {
         let name =
             format!("larchfall-{}-{:?}-{:?}", std::process::id(), thread::current().id(), Instant::now());
         let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '-' }).collect();
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_larchfall"))
-            .args(["serve", "--config"])
-            .arg(&file)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_larchfall"));
+        command.args(["serve", "--config"]).arg(&file);
+        let site_file = file.with_extension("toml");
+        if let Some(site) = site {
+            std::fs::write(&site_file, site).unwrap();
+            command.arg("--site").arg(&site_file);
+        }
+        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
         let log = Arc::new(Lines::default());
         let (output, lines) = (child.stdout.take().unwrap(), log.clone());
         thread::spawn(move || {
@@ -122,9 +137,9 @@
                 lines.new.notify_all();
             }
         });
-        let line = log.wait_for("listening");
-        let address = line.split("address: ").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
-        Front { child, address, log, board, file }
+        let address = address_in(&log.wait_for("listening,"));
+        let rest = site.map(|_| address_in(&log.wait_for("listening for rest,")));
+        Front { child, address, rest, log, board, file, site_file }
     }
 
     pub fn client(&self) -> Client {
@@ -136,6 +151,16 @@
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
+    pub fn rest_client(&self) -> RestClient {
+        RestClient::connect(self.rest.unwrap()).unwrap()
+    }
+
+    /// Replaces the operator's settings and tells the front.
+    pub fn reload_site(&self, text: &str) {
+        std::fs::write(&self.site_file, text).unwrap();
+        self.signal("-HUP");
+    }
+
     /// Replaces the configuration and tells the front.
     pub fn reload(&self, text: &str) {
         std::fs::write(&self.file, text).unwrap();
@@ -171,6 +196,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(&self.site_file);
     }
 }
 
--- a/front/tests/front/main.rs
+++ b/front/tests/front/main.rs
@@ -3,5 +3,6 @@
 mod codecs;
 mod common;
 mod memory;
+mod rest;
 mod sockets;
 mod together;
--- a/front/tests/front/memory.rs
+++ b/front/tests/front/memory.rs
@@ -3,8 +3,8 @@
 use crate::common;
 use larchfall::interface::{EngineState, Outcome};
 use larchfall::time::{At, Span};
-use larchfall_front::link::{Fault, Link, NoLink};
-use larchfall_front::run::command::{Task, parse};
+use larchfall_front::engines::link::{Fault, Link, NoLink};
+use larchfall_front::run::command::{Asked, Task, parse};
 use larchfall_front::run::config;
 use larchfall_front::state::clock::{Clock, wait};
 use larchfall_front::state::counters::Counters;
@@ -380,15 +380,19 @@
 
 #[test]
 fn the_command_line_refuses_what_it_does_not_know() {
-    let ok = |task, file: Option<&str>| Ok((task, file.map(str::to_owned)));
-    type Asked = Result<(Task, Option<String>), &'static str>;
-    let cases: [(&[&str], Asked); 11] = [
-        (&[], ok(Task::Serve, None)),
-        (&["serve"], ok(Task::Serve, None)),
-        (&["serve", "--config", "a"], ok(Task::Serve, Some("a"))),
-        (&["--config=a", "check"], ok(Task::Check, Some("a"))),
-        (&["version"], ok(Task::Version, None)),
+    let ok = |task, config: Option<&str>, site: Option<&str>| {
+        Ok(Asked { task, config: config.map(str::to_owned), site: site.map(str::to_owned) })
+    };
+    type Case<'a> = (&'a [&'a str], Result<Asked, &'static str>);
+    let cases: [Case; 13] = [
+        (&[], ok(Task::Serve, None, None)),
+        (&["serve"], ok(Task::Serve, None, None)),
+        (&["serve", "--config", "a"], ok(Task::Serve, Some("a"), None)),
+        (&["--config=a", "check"], ok(Task::Check, Some("a"), None)),
+        (&["check", "--site", "b", "--config=a"], ok(Task::Check, Some("a"), Some("b"))),
+        (&["version"], ok(Task::Version, None, None)),
         (&["version", "--config", "a"], Err("invalid option '--config'")),
+        (&["help", "--site", "a"], Err("invalid option '--site'")),
         (&["serve", "check"], Err("unexpected argument \"check\"")),
         (&["dance"], Err("unknown command 'dance'")),
         (&["--dance"], Err("invalid option '--dance'")),
@@ -403,6 +407,9 @@
         [&["help"][..], &["-h"], &["serve", "--help"], &["check", "-h"], &["version", "-h"], &["--help"]]
     {
         let got = parse(args.iter().map(|a| (*a).to_owned()));
-        assert!(matches!(got, Ok((Task::Help(text), None)) if text.contains("usage")), "{args:?}");
+        assert!(
+            matches!(got, Ok(Asked { task: Task::Help(text), .. }) if text.contains("usage")),
+            "{args:?}"
+        );
     }
 }
--- /dev/null
+++ b/front/tests/front/rest.rs
@@ -0,0 +1,364 @@
+//! The paged protocol on loopback sockets: a front with its site file, toy engines and toy clients of both kinds.
+
+use crate::common::{Front, config, until_seen, wait_for};
+use larchfall_rest::document::{Document, State};
+use larchfall_toy::board::Board;
+use larchfall_toy::client::Answer as Whole;
+use larchfall_toy::engine::{Act, Engine};
+use larchfall_toy::rest::{Answer, RestClient, path};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const FOREVER: Duration = Duration::from_secs(600);
+const SITE: &str = r#"
+[rest]
+listen = "127.0.0.1:0"
+connections = 16
+results = 8
+result-pages = 2
+result-bytes = 4096
+poll-ms = 200
+kept-for-ms = 700
+statement-bytes = 1000
+[rest.batch]
+group = [{ header = "source" }]
+customer = [{ header = "user" }]
+reference = [{ field = "Idempotency-Key" }]
+key = [{ session = "order_key" }]
+time-limit = [{ session = "time_limit_ms" }]
+"#;
+
+fn front(engine: Option<SocketAddr>) -> Front {
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let text = config("127.0.0.1:0", board.address, engine, 256);
+    Front::start_site(board, &text, Some(SITE))
+}
+
+fn engine(act: Act) -> Engine {
+    Engine::start("127.0.0.1:0", move |_| act.clone()).unwrap()
+}
+
+fn pages(texts: &[&str]) -> Vec<Vec<u8>> {
+    texts.iter().map(|t| t.as_bytes().to_vec()).collect()
+}
+
+fn head(group: &str) -> Vec<(&str, &str)> {
+    vec![("X-Trino-User", "acme"), ("X-Trino-Source", group)]
+}
+
+fn post(client: &mut RestClient, group: &str, statement: &str) -> Answer {
+    client.call("POST", "/v1/statement", &head(group), statement.as_bytes()).unwrap()
+}
+
+fn document(answer: &Answer) -> Document {
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    serde_json::from_slice(&answer.body).unwrap()
+}
+
+/// All documents from the first one on, and how often the last was asked for.
+fn follow(client: &mut RestClient, first: Answer) -> Vec<Document> {
+    let mut all = vec![document(&first)];
+    while let Some(next) = all.last().unwrap().next_uri.clone() {
+        all.push(document(&client.call("GET", path(&next), &[], b"").unwrap()));
+    }
+    all
+}
+
+fn rows(documents: &[Document]) -> Vec<String> {
+    documents.iter().flat_map(|d| d.data.iter().flatten()).map(|row| row.join("|")).collect()
+}
+
+#[test]
+fn a_result_comes_in_pages_that_stay_the_same() {
+    let texts = ["a\tb\n", "c\td\n", "e\tf\ng\th\n", "i\tj\n"];
+    let engine = engine(Act::Serve(Duration::ZERO, pages(&texts)));
+    let front = front(Some(engine.address));
+    let mut client = front.rest_client();
+    let first = post(&mut client, "look", "select 1");
+    let mut seen = vec![document(&first)];
+    let mut paths = Vec::new();
+    while let Some(next) = seen.last().unwrap().next_uri.clone() {
+        let page = client.call("GET", path(&next), &[], b"").unwrap();
+        let again = front.rest_client().call("GET", path(&next), &[], b"").unwrap();
+        assert_eq!(document(&page).data, document(&again).data, "asked for again, on another connection");
+        seen.push(document(&page));
+        paths.push(path(&next).to_owned());
+    }
+    assert_eq!(rows(&seen), ["a|b", "c|d", "e|f", "g|h", "i|j"]);
+    assert_eq!(seen.last().unwrap().stats.state, State::Finished);
+    assert_eq!(seen[0].columns.as_ref().unwrap().len(), 2);
+    let mut status = |path: &str| client.call("GET", path, &[], b"").unwrap().status;
+    assert_eq!(status(&paths[0]), 410, "an older page");
+    assert_eq!(status(paths.last().unwrap()), 200, "the last one, for a while");
+    assert_eq!(status(&paths[0].replace("executing/", "executing/9")), 404, "none of ours");
+    assert_eq!(status("/v1/statement/executing/1_0/0123456789abcdef0123456789abcdef/1"), 404, "guessed");
+    assert_eq!((status("/v1/info"), status("/"), status("/v1/statement")), (200, 404, 405));
+    wait_for("the result to leave memory", || (status(paths.last().unwrap()) == 410).then_some(()));
+    assert_eq!(engine.seen().started.len(), 1);
+    front.signal("-USR1");
+    assert!(front.log.wait_for("results_read").contains("results_read=1 results_left=0"));
+}
+
+#[test]
+fn each_end_of_a_batch_has_its_one_answer() {
+    // What the engine does, the group, the answer's status and error, how often the statement came.
+    let cases = [
+        (Act::Serve(Duration::from_millis(500), pages(&["late\n"])), "look", 200, None, 1),
+        (Act::Serve(Duration::ZERO, pages(&[""])), "once", 200, None, 1),
+        (Act::Decline, "once", 429, Some("QUERY_QUEUE_FULL"), 0),
+        (Act::Fail, "once", 200, Some("GENERIC_INTERNAL_ERROR"), 1),
+        (Act::Cut, "once", 200, Some("GENERIC_INTERNAL_ERROR"), 1),
+        (Act::Fail, "look", 429, Some("QUERY_QUEUE_FULL"), 0),
+    ];
+    for (act, group, status, error, times) in cases {
+        let engine = engine(act.clone());
+        let front = front(Some(engine.address));
+        let mut client = front.rest_client();
+        let first = post(&mut client, group, "select 1");
+        assert_eq!(first.status, status, "{act:?} for {group}: {}", String::from_utf8_lossy(&first.body));
+        if status == 429 {
+            assert_eq!(first.field("retry-after"), Some("1"));
+            assert!(String::from_utf8_lossy(&first.body).contains(error.unwrap()), "{act:?}");
+        } else {
+            let last = follow(&mut client, first).pop().unwrap();
+            assert_eq!(last.error.map(|e| e.error_name), error.map(str::to_owned), "{act:?} for {group}");
+        }
+        let started = engine.seen().started.len();
+        assert!(times == 0 || started == times, "{act:?} for {group}: started {started}");
+    }
+}
+
+#[test]
+fn what_can_not_be_used_is_named_and_sent_to_no_engine() {
+    let engine = engine(Act::Serve(Duration::ZERO, pages(&["ok\n"])));
+    let front = front(Some(engine.address));
+    let mut client = front.rest_client();
+    let user = ("X-Trino-User", "acme");
+    let load = ("X-Trino-Source", "load");
+    let session = ("X-Trino-Session", "time_limit_ms=soon");
+    type Case<'a> = (&'a [(&'a str, &'a str)], &'a str, &'a str);
+    let cases: [Case; 8] = [
+        (&[user], "select 1", "group is missing"),
+        (&[("X-Trino-Source", "look")], "select 1", "unknown customer"),
+        (&[user, ("X-Trino-Source", "dance")], "select 1", "unknown service group"),
+        (&[user, ("X-Trino-Source", "look"), session], "select 1", "time-limit is unusable"),
+        (&[user, load], "select 1", "reference is missing"),
+        (&[user, load, ("Idempotency-Key", "a b")], "select 1", "reference is unusable"),
+        (&[user, load, ("Idempotency-Key", "ab")], "select 1", "key is missing"),
+        (&[user, ("X-Trino-Source", "look")], "", "no statement"),
+    ];
+    for (head, statement, why) in cases {
+        let answer = client.call("POST", "/v1/statement", head, statement.as_bytes()).unwrap();
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        assert!(answer.status == 400 && text.contains(why), "{why}: {} {text}", answer.status);
+    }
+    assert!(engine.seen().started.is_empty());
+    let long = "x".repeat(1000);
+    assert_eq!(post(&mut client, "look", &long).status, 200, "at the limit");
+    assert_eq!(post(&mut client, "look", &(long + "x")).status, 413);
+    assert!(client.answer().is_err(), "the connection ends");
+    front.log.wait_for("detail: body too long");
+}
+
+#[test]
+fn calls_come_in_chunks_in_a_row_and_with_a_word_before_the_body() {
+    let engine = engine(Act::Serve(Duration::ZERO, pages(&["ok\n"])));
+    let front = front(Some(engine.address));
+    let mut client = front.rest_client();
+    let fields = "Host: h\r\nX-Trino-User: acme\r\nX-Trino-Source: look\r\n";
+    let chunked = format!("POST /v1/statement HTTP/1.1\r\n{fields}Transfer-Encoding: chunked\r\n\r\n");
+    client
+        .raw(format!("{chunked}3\r\nsel\r\n5\r\nect 1\r\n0\r\n\r\nGET /v1/info HTTP/1.1\r\n\r\n").as_bytes())
+        .unwrap();
+    assert_eq!(rows(&[document(&client.answer().unwrap())]), ["ok"]);
+    assert!(client.answer().unwrap().body.starts_with(b"{\"nodeVersion\""));
+    let expects =
+        format!("POST /v1/statement HTTP/1.1\r\n{fields}Expect: 100-continue\r\nContent-Length: 8\r\n\r\n");
+    client.raw(expects.as_bytes()).unwrap();
+    assert_eq!(client.answer().unwrap().status, 100);
+    client.raw(b"select 1").unwrap();
+    assert_eq!(rows(&[document(&client.answer().unwrap())]), ["ok"]);
+    assert_eq!(
+        engine.seen().started.iter().map(|c| c.statement.clone()).collect::<Vec<_>>(),
+        [b"select 1", b"select 1"]
+    );
+    // Both families of headers are told apart by the file; a connection ends when its client asks for that.
+    let closes = client.call("GET", "/v1/info", &[("Connection", "close")], b"").unwrap();
+    assert_eq!(closes.field("connection"), Some("close"));
+    front.log.wait_for("reason: asked-to-close");
+}
+
+#[test]
+fn a_client_that_walks_away_is_given_up() {
+    let slow = engine(Act::Serve(FOREVER, pages(&["never\n"])));
+    let many = engine(Act::Serve(Duration::ZERO, pages(&["1\n", "2\n", "3\n", "4\n", "5\n", "6\n"])));
+    // The engine, how many pages the client reads after the first, and whether it says that it goes.
+    for (engine, reads, says) in
+        [(&slow, 0, false), (&slow, 1, true), (&many, 0, false), (&many, 2, false), (&many, 1, true)]
+    {
+        let front = front(Some(engine.address));
+        let given_up = engine.seen().given_up.len();
+        let mut client = front.rest_client();
+        let mut last = document(&post(&mut client, "once", "select 1"));
+        for _ in 0..reads {
+            last = document(&client.call("GET", path(&last.next_uri.unwrap()), &[], b"").unwrap());
+        }
+        let next = last.next_uri.unwrap();
+        if says {
+            for _ in 0..2 {
+                assert_eq!(client.call("DELETE", path(&next), &[], b"").unwrap().status, 204);
+            }
+        } else {
+            drop(client);
+        }
+        until_seen(engine, "the query to be given up", |s| s.given_up.len() > given_up);
+        let answer = front.rest_client().call("GET", path(&next), &[], b"").unwrap();
+        assert_eq!(answer.status, 410, "its pages are gone");
+        wait_for("the end to be counted", || {
+            front.signal("-USR1");
+            (front.log.count("results_read=0 results_left=1") > 0).then_some(())
+        });
+    }
+}
+
+#[test]
+fn a_page_lost_after_others_were_handed_on_ends_the_result_and_before_that_it_begins_anew() {
+    for (group, act) in [("once", Act::LosePage), ("look", Act::LosePage)] {
+        let engine = engine(act);
+        let front = front(Some(engine.address));
+        let mut client = front.rest_client();
+        let first = post(&mut client, group, "select 1");
+        // None of its rows was handed on: once-only ends in an error, what may run again was tried again.
+        if group == "once" {
+            let all = follow(&mut client, first);
+            assert!(rows(&all).is_empty() && all.last().unwrap().error.is_some());
+            assert_eq!(engine.seen().started.len(), 1);
+        } else {
+            assert_eq!(first.status, 429);
+            assert!(engine.seen().started.len() > 1);
+        }
+    }
+}
+
+#[test]
+fn a_slow_reader_holds_its_engine_back_and_loses_nothing() {
+    let texts: Vec<String> = (0..12).map(|n| format!("{n}\n")).collect();
+    let engine = engine(Act::Serve(Duration::ZERO, texts.iter().map(|t| t.clone().into_bytes()).collect()));
+    let front = front(Some(engine.address));
+    let mut client = front.rest_client();
+    let mut all = vec![document(&post(&mut client, "once", "select 1"))];
+    while let Some(next) = all.last().unwrap().next_uri.clone() {
+        std::thread::sleep(Duration::from_millis(250));
+        all.push(document(&client.call("GET", path(&next), &[], b"").unwrap()));
+    }
+    assert_eq!(rows(&all), (0..12).map(|n| n.to_string()).collect::<Vec<_>>());
+    assert!(all.last().unwrap().error.is_none());
+}
+
+#[test]
+fn batches_of_one_key_run_one_at_a_time_over_both_protocols() {
+    let engine = engine(Act::Serve(Duration::from_millis(150), pages(&["ok\n"])));
+    let front = front(Some(engine.address));
+    let key = "00000000000000ab";
+    let mut whole = front.client();
+    let mut paged: Vec<RestClient> = (0..2).map(|_| front.rest_client()).collect();
+    let session = format!("order_key={key}");
+    for n in 0..6 {
+        let reference = format!("{n:016x}");
+        let statement = format!("load {n}");
+        if n % 2 == 0 {
+            let fields = [
+                ("req", &reference[..]),
+                ("timeout", "20000"),
+                ("owner", "acme"),
+                ("opkey", &reference),
+                ("subject", key),
+            ];
+            whole.send("load", &fields, &statement).unwrap();
+        } else if let Some(client) = paged.get_mut(n / 2) {
+            let mut head = head("load");
+            head.extend([("Idempotency-Key", &reference[..]), ("X-Trino-Session", &session[..])]);
+            client.send("POST", "/v1/statement", &head, statement.as_bytes()).unwrap();
+        }
+        wait_for("it to be taken", || {
+            front.signal("-USR1");
+            let taken = format!("group=load taken={}", if n == 5 { 5 } else { n + 1 });
+            (front.log.count(&taken) > 0).then_some(())
+        });
+    }
+    for _ in 0..3 {
+        assert!(matches!(whole.answer().unwrap().1, Whole::Rows(_)));
+    }
+    for client in &mut paged {
+        let first = client.answer().unwrap();
+        assert_eq!(rows(&follow(client, first)), ["ok"]);
+    }
+    let seen = engine.seen().started;
+    let order: Vec<_> = seen.iter().map(|c| String::from_utf8_lossy(&c.statement).into_owned()).collect();
+    assert_eq!(order, ["load 0", "load 1", "load 2", "load 3", "load 4"]);
+}
+
+#[test]
+fn silent_connections_and_open_results_are_bounded_and_others_are_served() {
+    let engine = Engine::start("127.0.0.1:0", |call| {
+        Act::Serve(if call.statement == b"long" { FOREVER } else { Duration::ZERO }, pages(&["ok\n"]))
+    })
+    .unwrap();
+    let front = front(Some(engine.address));
+    let mut client = front.rest_client();
+    let silent: Vec<TcpStream> = (0..300).map(|_| TcpStream::connect(front.rest.unwrap()).unwrap()).collect();
+    let mut trickle = TcpStream::connect(front.rest.unwrap()).unwrap();
+    trickle.write_all(b"POST /v1/sta").unwrap();
+    let began = Instant::now();
+    let first = post(&mut client, "look", "select 1");
+    assert_eq!(rows(&follow(&mut client, first)), ["ok"]);
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+    // The other protocol has its own connections.
+    let mut whole = front.client();
+    let ping = whole.ping().unwrap();
+    assert_eq!(whole.answer().unwrap(), (ping, Whole::Pong));
+    // As many results as may be open; the next is told to come back.
+    drop((silent, trickle));
+    let mut others: Vec<RestClient> = (0..8).map(|_| front.rest_client()).collect();
+    for other in &mut others {
+        other.send("POST", "/v1/statement", &head("look"), b"long").unwrap();
+    }
+    let open: Vec<Document> = others.iter_mut().map(|o| document(&o.answer().unwrap())).collect();
+    let over = post(&mut client, "look", "select 1");
+    assert_eq!((over.status, over.field("retry-after")), (429, Some("1")));
+    let next = open[0].next_uri.clone().unwrap();
+    client.call("DELETE", path(&next), &[], b"").unwrap();
+    assert_eq!(post(&mut client, "look", "select 1").status, 200);
+}
+
+#[test]
+fn the_operators_file_is_taken_whole_or_not_at_all() {
+    let engine = engine(Act::Serve(Duration::ZERO, pages(&["ok\n"])));
+    let front = front(Some(engine.address));
+    let mut client = front.rest_client();
+    let presto = [("X-Presto-User", "acme"), ("X-Presto-Source", "look")];
+    let mut status = || client.call("POST", "/v1/statement", &presto, b"select 1").unwrap().status;
+    assert_eq!(status(), 400);
+    front.reload_site(&SITE.replace("poll-ms = 200", "poll-ms = 200000"));
+    front.log.wait_for("line 8: rest.poll-ms: 200000 ms is not within 1 to 60000");
+    assert_eq!(status(), 400, "as before");
+    front.reload_site(&SITE.replace("[rest.batch]", "headers = \"presto\"\n[rest.batch]"));
+    front.log.wait_for("configuration read again");
+    wait_for("the other headers", || (status() == 200).then_some(()));
+}
+
+#[test]
+fn told_to_stop_a_front_lets_results_be_read_and_takes_nothing_new() {
+    let engine = engine(Act::Serve(Duration::ZERO, pages(&["1\n", "2\n", "3\n"])));
+    let mut front = front(Some(engine.address));
+    let mut client = front.rest_client();
+    let first = post(&mut client, "once", "select 1");
+    front.signal("-TERM");
+    front.log.wait_for("told to stop");
+    let refused = post(&mut front.rest_client(), "once", "select 2");
+    assert_eq!((refused.status, refused.field("retry-after")), (503, Some("1")));
+    assert_eq!(rows(&follow(&mut client, first)), ["1", "2", "3"]);
+    assert!(front.ended().success());
+    front.log.wait_for("reason: stopped");
+}
--- a/front/tests/front/together.rs
+++ b/front/tests/front/together.rs
@@ -1,11 +1,13 @@
 //! Troubles that come together: engines replaced at their addresses, calls that are cut and come in late, errors,
-//! clients that leave, and a flood in good form that takes all back. A hall of stand-in engines keeps the ledger
+//! clients of both protocols that leave, and a flood in good form that takes all back. A hall of stand-in engines keeps the ledger
 //! of what really ran; the seed of a run stands in each failure.
 
 use crate::common::{Front, config_of, settings, wait_for};
+use larchfall_rest::document::Document;
 use larchfall_toy::board::{Board, Listed, frame};
 use larchfall_toy::client::{Answer, Client};
 use larchfall_toy::hall::{Fate, Hall, Ledger};
+use larchfall_toy::rest::{RestClient, path};
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -14,6 +16,18 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+const SITE: &str = r#"
+[rest]
+listen = "127.0.0.1:0"
+poll-ms = 200
+kept-for-ms = 1000
+[rest.batch]
+group = [{ header = "source" }]
+customer = [{ header = "user" }]
+reference = [{ field = "Idempotency-Key" }]
+key = [{ session = "order_key" }]
+time-limit = [{ session = "time_limit_ms" }]
+"#;
 const ENGINES: usize = 3;
 const LASTS: Duration = Duration::from_secs(7);
 const FREE: f64 = 2.0;
@@ -116,6 +130,55 @@
     }
 }
 
+/// The same over the paged protocol, one statement after the other; walks away from some, between pages or before.
+fn paged(front: SocketAddr, me: usize, seed: u64, over: &AtomicBool, clients: &Clients) {
+    let mut chance = WyRand::new_seed(seed ^ (me as u64 + 1) << 32);
+    let mut client = RestClient::connect(front).unwrap();
+    let mut n = 0;
+    while !over.load(Ordering::Relaxed) {
+        n += 1;
+        let id = format!("{:08x}{n:08x}", me + 1);
+        let group = ["look", "look", "once", "load"][chance.generate_range(0..4_usize)];
+        let key = format!("{:016x}", me * 2 + n % 2);
+        let session = format!("time_limit_ms=6000,order_key={key}");
+        let mut head = vec![("X-Trino-User", "acme"), ("X-Trino-Source", group)];
+        if group == "load" {
+            head.extend([("X-Trino-Session", &session[..]), ("Idempotency-Key", &id[..])]);
+        }
+        clients.sent.lock().unwrap().insert(id.clone(), Sent { group, at: Instant::now(), ends: Vec::new() });
+        // The front makes the id under which engines know a batch; the statement tells which it is.
+        let statement = format!("{group} {key} {n} {id}");
+        let mut answer = client.call("POST", "/v1/statement", &head, statement.as_bytes()).unwrap();
+        let end = loop {
+            if answer.status == 429 {
+                break End::Answered(Answer::Error("Rejected".into(), None));
+            }
+            assert_eq!(answer.status, 200, "seed {seed}: {}", String::from_utf8_lossy(&answer.body));
+            let document: Document = serde_json::from_slice(&answer.body).unwrap();
+            let Some(next) = document.next_uri else {
+                break End::Answered(match document.error {
+                    Some(e) if e.error_name == "QUERY_QUEUE_FULL" => Answer::Error("Rejected".into(), None),
+                    Some(e) => Answer::Error(e.error_name, None),
+                    None => Answer::Rows(document.data.unwrap().concat().concat().into_bytes()),
+                });
+            };
+            match chance.generate_range(0..30_u32) {
+                0 => {
+                    // Its result is kept for a while, and left then.
+                    client = RestClient::connect(front).unwrap();
+                    break End::Left;
+                }
+                1 => {
+                    assert_eq!(client.call("DELETE", path(&next), &[], b"").unwrap().status, 204);
+                    break End::Left;
+                }
+                _ => answer = client.call("GET", path(&next), &[], b"").unwrap(),
+            }
+        };
+        clients.sent.lock().unwrap().get_mut(&id).unwrap().ends.push(end);
+    }
+}
+
 /// Look-ups in good form by the hundred, all taken back at once.
 fn flood(front: SocketAddr, over: &AtomicBool, clients: &Clients) {
     let mut n = 0;
@@ -172,8 +235,11 @@
 
 fn check(seed: u64, ledger: &Ledger, clients: &Clients, drained: &[(usize, Instant)]) {
     let sent = clients.sent.lock().unwrap();
+    // A statement that came over the paged protocol ends with what its client calls it.
     let mut ran: HashMap<&str, usize> = HashMap::new();
-    ledger.ran.iter().for_each(|r| *ran.entry(&r.id).or_default() += 1);
+    for r in &ledger.ran {
+        *ran.entry(r.statement.split(' ').nth(3).unwrap_or(&r.id)).or_default() += 1;
+    }
     for (id, Sent { group, ends, .. }) in sent.iter() {
         assert_eq!(ends.len(), 1, "seed {seed}: answers to {id} of {group}: {ends:?}");
         let times = ran.get(&id[..]).copied().unwrap_or(0);
@@ -236,16 +302,18 @@
     let engines: Vec<SocketAddr> = (0..ENGINES).map(|i| hall.address(i)).collect();
     let ration = r#""safety":{"budget_free":2.0,"extra_per_request":0.1,"extra_window":10000000,"#;
     let settings = settings().replace(r#""safety":{"#, ration);
-    let front = Front::start_with(
-        Board::start("127.0.0.1:0").unwrap(),
-        &config_of("127.0.0.1:0", board.address, &engines, 512, &settings),
-    );
+    let text = config_of("127.0.0.1:0", board.address, &engines, 512, &settings);
+    let front = Front::start_site(Board::start("127.0.0.1:0").unwrap(), &text, Some(SITE));
     let (over, clients) = (Arc::new(AtomicBool::new(false)), Arc::new(Clients::default()));
     let mut threads = Vec::new();
     for me in 0..4 {
         let (over, clients, to) = (over.clone(), clients.clone(), front.address);
         threads.push(thread::spawn(move || usual(to, me, seed, &over, &clients)));
     }
+    for me in 4..7 {
+        let (over, clients, to) = (over.clone(), clients.clone(), front.rest.unwrap());
+        threads.push(thread::spawn(move || paged(to, me, seed, &over, &clients)));
+    }
     for _ in 0..2 {
         let (over, clients, to) = (over.clone(), clients.clone(), front.address);
         threads.push(thread::spawn(move || flood(to, &over, &clients)));
