A key does not rest after a whole result whose last page came on another connection

Change: a whole result is the engine's word for its end, on whichever connection its last page came.

--- a/front/src/engines/platform.rs
+++ b/front/src/engines/platform.rs
@@ -269,6 +269,8 @@
             }
         }
         self.done(link);
+        // The whole result is the engine's word, on whichever connection its last page came.
+        self.same.set(true);
         Ended { report, ..self.end(Last::Ended, Outcome::Returned) }
     }
 
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -221,6 +221,38 @@
     assert!(cut.elapsed() > Duration::from_millis(2000), "{:?} after", cut.elapsed());
 }
 
+/// Guards against a key that rests after a whole result, only because its last page came on another connection.
+#[test]
+fn a_key_does_not_rest_after_a_whole_result() {
+    let engine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let front = Front::start(Some(engine.local_addr().unwrap()));
+    std::thread::spawn(move || {
+        for stream in engine.incoming().flatten() {
+            std::thread::spawn(move || {
+                let (mut stream, mut bytes) = (stream, [0; 2048]);
+                while let Ok(n @ 1..) = stream.read(&mut bytes) {
+                    // Each reply is the last of its connection.
+                    let first = !bytes[..n].starts_with(b"GET");
+                    let page = if first { "Page-Count: 2" } else { "Page-No: 1" };
+                    let reply = format!(
+                        "HTTP/1.1 200 OK\r\n{page}\r\nConnection: close\r\nContent-Length: 2\r\n\r\n1\n"
+                    );
+                    if stream.write_all(reply.as_bytes()).is_err() || first {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let mut client = front.client();
+    let began = Instant::now();
+    for id in ["00000000000000a1", "00000000000000a2"] {
+        client.send("load", &of("load", id, "20000"), "").unwrap();
+        assert_eq!(client.answer().unwrap().1, rows("1\n1\n"));
+    }
+    assert!(began.elapsed() < Duration::from_millis(2000), "{:?}", began.elapsed());
+}
+
 #[test]
 fn the_way_and_what_clients_hold_back_are_left_off_the_time_limit() {
     let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
