--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -129,7 +129,7 @@
                     took: Span::from_micros(u64::from(rtt)),
                     over: ended,
                     // Here an outcome comes once nothing runs on, but for what the rule's own rest covers.
-                    seen: Seen { last: Last::Ended, same: true, asked: now },
+                    seen: Seen { last: Last::Ended, same: true },
                     work: told.then(|| Span::from_millis(u64::from(used >> 12))),
                     report: front.report(&values(&mut r)?),
                 };
--- a/front/src/engines/platform.rs
+++ b/front/src/engines/platform.rs
@@ -38,7 +38,7 @@
 
 /// Of which nothing left.
 pub fn not_sent(outcome: Outcome) -> Ended {
-    let seen = Seen { last: Last::NotSent, same: true, asked: At::default() };
+    let seen = Seen { last: Last::NotSent, same: true };
     Ended { outcome, report: Report::default(), seen, torn: false }
 }
 
@@ -304,7 +304,7 @@
 
     /// An end with what was last seen of it. What does not prove that nothing runs leaves a line.
     fn end(&self, last: Last, outcome: Outcome) -> Ended {
-        let seen = Seen { last, same: self.same.get(), asked: self.asked.get() };
+        let seen = Seen { last, same: self.same.get() };
         if self.task.in_order && !proves_over(seen) {
             info!(self.state.log, "end not seen: {:?}", last; "id" => &self.task.id, "dispatch" => self.number,
                 "engine" => self.to.engine, "address" => self.home.address.to_string());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -179,8 +179,6 @@
     /// Said by the very process that has the batch: on the connection of the call itself, or on one on which it
     /// had spoken of the batch as its own.
     pub same: bool,
-    /// When its engine was asked for it last, at the latest.
-    pub asked: At,
 }
 
 #[derive(Clone, Debug)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -721,7 +721,7 @@
     /// Whoever looked after this batch ended without a word: nothing is known of what is out.
     pub fn lost(&mut self, now: At, b: usize) {
         self.end(b);
-        let seen = Seen { last: Last::Lost, same: false, asked: now };
+        let seen = Seen { last: Last::Lost, same: false };
         let answer = Answer::bare(Outcome::CalledOff, seen);
         while let Some(Some(number)) = self.batches.get(b).map(|h| h.as_ref()?.out.first().map(|o| o.number))
         {
--- a/src/policy/account.rs
+++ b/src/policy/account.rs
@@ -1,14 +1,14 @@
-//! Rule 5 as an account for each key: whose turn it is, in the order taken, and what of the key may still run.
-//! A dispatch is on it from before its first byte until something proves that it neither runs nor can start;
-//! only then, and not when its outcome comes, may the next batch of its key go.
+//! Rule 5 as an account for each key: whose turn it is, in the order taken, and what of it may still run. A
+//! dispatch is on it from before its first byte until something proves that it neither runs nor can start.
+//! Only then, and not when its outcome comes, may the next batch of its key go.
 
 use crate::interface::{Last, Seen};
 use crate::time::{At, Span};
 use std::collections::{BTreeMap, VecDeque};
 
 /// The one table of how a dispatch can end: whether that proves that nothing of it runs or can start. What a
-/// process says proves something only where the same one has the batch: a call that was cut off may come in after
-/// the next one, and at the address of an engine about to go, which runs on what it has, another may listen.
+/// process says proves something only where the same one has the batch: a call that was cut off may come in
+/// late, and at the address of an engine about to go, which runs on what it has, another may listen.
 pub fn proves_over(seen: Seen) -> bool {
     match seen.last {
         Last::NotSent => true,
@@ -37,7 +37,7 @@
 pub struct Account {
     /// The rule's own rest after what is not known to be over.
     quiet: Span,
-    /// An engine gives up what it was not asked for in this long.
+    /// An engine gives up what was not asked for in this long; from the end on, for it may have stood still.
     forgets: Span,
     lines: BTreeMap<u64, Line>,
 }
@@ -51,7 +51,7 @@
         self.lines.entry(key).or_default().taken.push_back(b);
     }
 
-    /// Whether it is the first of its key, with nothing of another that may run. Beside its own it may go again.
+    /// Whether it is the first of its key, with nothing of another that may run. Beside its own it may go.
     pub fn has_turn(&self, key: u64, b: usize, now: At) -> bool {
         let Some(line) = self.lines.get(&key) else { return true };
         let over = |e: &Entry| e.batch == Some(b) || e.until.is_some_and(|until| until <= now);
@@ -65,7 +65,7 @@
     /// The dispatch has its outcome. `unsure` where the rule itself asks for a rest after such an outcome.
     pub fn ended(&mut self, key: u64, b: usize, number: u8, seen: Seen, unsure: bool, now: At) {
         let Some(line) = self.lines.get_mut(&key) else { return };
-        let over = if proves_over(seen) { now } else { now.max(seen.asked + self.forgets) };
+        let over = if proves_over(seen) { now } else { now + self.forgets };
         let until = over + if unsure || over > now { self.quiet } else { Span::ZERO };
         let this = |e: &&mut Entry| e.batch == Some(b) && e.number == number;
         line.may_run.iter_mut().filter(this).for_each(|e| e.until = Some(until));
--- a/src/policy/ration.rs
+++ b/src/policy/ration.rs
@@ -1,6 +1,6 @@
-//! Rule 7: further dispatches of this front within the ration of any window since its start. A batch counts as
-//! taken from when it was taken, but only once an engine returned it to a client that still waits: of what is taken
-//! back, never waited for, turned away or errored nobody can tell whether the rule counts it, and no flood of it
+//! Rule 7: further dispatches of this front within the ration of any window since its start. A batch counts
+//! from when it was taken, but only once an engine returned it to a client that still waits. Whether the rule
+//! counts what is taken back, never waited for, turned away or errored nobody can tell, and no flood of it
 //! may widen the ration. So a front has what is free and the share of what it serves, whatever else comes.
 
 use crate::interface::RationRule;
--- a/tests/account.rs
+++ b/tests/account.rs
@@ -28,7 +28,7 @@
 enum Is {
     Outside,
     Waits,
-    Out { engine: usize, link: Option<Link>, asked: u64 },
+    Out { engine: usize, link: Option<Link> },
     Over,
 }
 
@@ -160,7 +160,7 @@
                 self.account.sent(KEY, b, self.batches[b].1);
                 self.flying.push(There { batch: b, process, since: self.now });
                 let link = Some(Link { process, same: true });
-                self.batches[b].0 = Is::Out { engine: e, link, asked: self.now };
+                self.batches[b].0 = Is::Out { engine: e, link };
             }
             Act::Arrive(i) => {
                 let call = self.flying.remove(i);
@@ -201,7 +201,7 @@
     /// A call for news or to stop, on the connection there is or on a new one.
     fn call(&mut self, b: usize, stop: bool, x: &Bounds) {
         let now = self.now;
-        let Is::Out { engine, link, asked } = &mut self.batches[b].0 else { return };
+        let Is::Out { engine, link } = &mut self.batches[b].0 else { return };
         if link.is_none() {
             *link = self.listens[*engine].map(|process| Link { process, same: false });
         }
@@ -211,7 +211,6 @@
             self.running.retain(|r| !here(r));
             return self.end(b, Last::Stopped, x);
         }
-        *asked = now;
         if let Some(run) = self.running.iter_mut().find(|r| here(r)) {
             (run.since, l.same) = (now, true);
         } else if self.ended.iter().any(here) {
@@ -224,10 +223,10 @@
     }
 
     fn end(&mut self, b: usize, last: Last, x: &Bounds) {
-        let Is::Out { link, asked, .. } = &self.batches[b].0 else { return };
+        let Is::Out { link, .. } = &self.batches[b].0 else { return };
         let trusted = x.reading == Reading::Trusting && last == Last::Stopped;
         let same = trusted || link.as_ref().is_some_and(|l| l.same);
-        let seen = Seen { last, same, asked: at(*asked) };
+        let seen = Seen { last, same };
         let number = self.batches[b].1;
         self.account.ended(KEY, b, number, seen, false, at(self.now));
         self.batches[b] = (Is::Waits, number + 1);
@@ -298,7 +297,7 @@
     ];
     for last in [NotSent, Declined, Ended, Stopped, Unknown, Refused, Silent, Lost] {
         for same in [true, false] {
-            let proof = proves_over(Seen { last, same, asked: at(0) });
+            let proof = proves_over(Seen { last, same });
             assert_eq!(proof, over.contains(&(last, same)), "{last:?} {same}");
         }
     }
@@ -309,7 +308,7 @@
     let mut account = Account::new(Span::ZERO, Span::from_micros(RECKONED));
     account.take(KEY, 0);
     account.sent(KEY, 0, 0);
-    account.ended(KEY, 0, 0, Seen { last: Last::Lost, same: false, asked: at(0) }, false, at(0));
+    account.ended(KEY, 0, 0, Seen { last: Last::Lost, same: false }, false, at(0));
     account.leave(KEY, 0);
     account.take(KEY, 0);
     assert!(!account.has_turn(KEY, 0, at(RECKONED - 1)), "what may run is another batch's");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use larchfall::time::{At, Span};
 
 /// The engine itself said the end.
-pub const SAID: Seen = Seen { last: Last::Ended, same: true, asked: At::from_micros(0) };
+pub const SAID: Seen = Seen { last: Last::Ended, same: true };
 
 pub const LOOK_UP: usize = 0;
 pub const REPORT: usize = 1;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -240,7 +240,7 @@
     for (same, place) in [(true, Place::PushBack(Some(Span::from_millis(500)))), (false, Place::Error)] {
         let mut front = Rig { ration: Some(RationRule::default()), ..Rig::default() }.start(1);
         let (b, _) = front.take(0, batch(LOAD));
-        let seen = Seen { last: Last::Declined, same, ..SAID };
+        let seen = Seen { last: Last::Declined, same };
         let answer = Answer { over: false, ..Answer::bare(Outcome::Full, seen) };
         front.policy.after(ms(1), b, 0, &answer);
         assert_eq!(front.policy.place(ms(1), b), place, "{same}");
