Chance for addresses and words for statuses from libraries; an unused accessor goes

Need: reading the change again found two things made by hand that well-known libraries do, and one accessor that nothing called. Change: getrandom draws the key of page addresses, http words the status lines, Results::kept_for is gone.

--- a/front/src/doors/rest.rs
+++ b/front/src/doors/rest.rs
@@ -53,9 +53,9 @@
 
 impl Door {
     /// The key is drawn from the machine's chance: whoever knows this front's seed must not know its addresses.
-    pub fn new(site: Rest, seed: u64) -> std::io::Result<Door> {
+    pub fn new(site: Rest, seed: u64) -> Result<Door, getrandom::Error> {
         let mut secret = [0; 32];
-        std::fs::File::open("/dev/urandom")?.read_exact(&mut secret)?;
+        getrandom::fill(&mut secret)?;
         let (pages, ids) = (Pages::new(site.caps), Mutex::new(WyRand::new_seed(!seed)));
         let (connections, clients) = (site.connections, AtomicUsize::new(0));
         let site = Mutex::new(Arc::new(site));
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -40,7 +40,8 @@
     let (site_file, rest) = site.map_or((None, None), |(file, site)| (Some(file), site.rest));
     let rest = match rest {
         Some(site) => {
-            let door = Door::new(site.clone(), config.seed).map_err(|e| (1, format!("/dev/urandom: {e}")))?;
+            let door = Door::new(site.clone(), config.seed)
+                .map_err(|e| (1, format!("no chance to be had for addresses: {e}")))?;
             Some((Arc::new(door), listen(site.listen)?, site))
         }
         None => None,
--- a/rest/src/call.rs
+++ b/rest/src/call.rs
@@ -1,6 +1,7 @@
 //! Calls as clients write them over HTTP/1.1 (RFC 9112), read from whatever bytes have come: the same calls however
 //! they are split. One call at a time; what follows it in the same bytes is the next one.
 
+use http::StatusCode;
 use httparse::{EMPTY_HEADER, Request, Status};
 
 /// No head is longer, and none has more lines.
@@ -187,21 +188,7 @@
 
 /// The head of an answer with a body of this length.
 pub fn answer(status: u16, fields: &[(&str, String)], kind: &str, body: &[u8], closes: bool) -> Vec<u8> {
-    let word = match status {
-        200 => "OK",
-        204 => "No Content",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        410 => "Gone",
-        413 => "Content Too Large",
-        417 => "Expectation Failed",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        501 => "Not Implemented",
-        503 => "Service Unavailable",
-        _ => "Error",
-    };
+    let word = StatusCode::from_u16(status).ok().and_then(|s| s.canonical_reason()).unwrap_or("Error");
     let mut head = format!("HTTP/1.1 {status} {word}\r\n");
     for (name, value) in fields {
         head += &format!("{name}: {value}\r\n");
--- a/rest/src/results.rs
+++ b/rest/src/results.rs
@@ -2,7 +2,7 @@
 //! page at a time beyond, so that none stands still for what others keep.
 
 use crate::cursor::{Ask, Cursor, End, Settled, Window};
-use larchfall::time::{At, Span};
+use larchfall::time::At;
 use slab::Slab;
 use std::collections::{BTreeSet, VecDeque};
 
@@ -198,11 +198,6 @@
             }
         }
     }
-
-    /// How long a result is kept for who does not ask.
-    pub fn kept_for(&self) -> Span {
-        self.caps.window.kept_for
-    }
 }
 
 /// A result whose client left it: its final answer is `Settled::Left`.
