--- a/front/src/state/pool.rs
+++ b/front/src/state/pool.rs
@@ -13,6 +13,8 @@
 /// One in so many connections is left to idle ones when all seats are taken: without any, each dispatch would
 /// open a connection of its own.
 const SPARE: usize = 8;
+/// The part of the time until engines close it that an idle connection is kept.
+const KEEP: f64 = 0.9;
 
 pub struct Pool {
     seats: Seats,
@@ -40,10 +42,11 @@
 }
 
 impl Pool {
-    /// Engines close what was idle for `idle_close`: at half of that it is let go here.
+    /// Engines close what was idle for `idle_close`. Here it is let go a tenth of that earlier, so that none is written
+    /// to as it closes, and no sooner: each new connection costs its engine work and its batch a way there and back.
     pub fn new(most: usize, idle_close: Span) -> Pool {
         let seats = Seats::new((most - most / SPARE).max(1));
-        Pool { seats, idle: Mutex::default(), most, keep: idle_close * 0.5 }
+        Pool { seats, idle: Mutex::default(), most, keep: idle_close * KEEP }
     }
 
     /// A seat is the right to one connection at a time. It is taken for a whole dispatch, so that what was
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -18,6 +18,7 @@
     models: Vec<String>,
     parties: Vec<RawCustomer>,
     period: u64,
+    prices: RawPrices,
     safety: RawSafety,
     stats: RawStats,
     zones: Vec<String>,
@@ -85,6 +86,12 @@
     ramp_time: u64,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawPrices {
+    probe: f64,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct RawStats {
@@ -174,7 +181,8 @@
         customers: raw.parties.iter().map(|p| Customer { allowance: p.allowance_per_s }).collect(),
         caps: Caps {
             call_off: raw.caps.cancel,
-            probes: raw.caps.probes && matches!(raw.stats.how.as_str(), "answers" | "probe"),
+            probe_price: (raw.caps.probes && matches!(raw.stats.how.as_str(), "answers" | "probe"))
+                .then_some(raw.prices.probe),
             most_dispatches: raw.caps.max_attempts,
             come_back: if raw.caps.retry_after { some(raw.caps.max_retry_after) } else { None },
             sets_memory: raw.domain.grants,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -74,8 +74,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Caps {
     pub call_off: bool,
-    /// An engine may be asked for its report.
-    pub probes: bool,
+    /// What a probe costs, in parts of a batch's utility; `None` where an engine may not be asked for its report.
+    pub probe_price: Option<f64>,
     pub most_dispatches: usize,
     /// The longest time to come back that clients heed, where they are told one at all.
     pub come_back: Option<Span>,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -66,8 +66,10 @@
 const WARM_WORTH: f64 = 2.0;
 const WARM_SETS: usize = 4;
 const ZONE_WORTH: f64 = 1.0;
-// Probes a batch taken, where own counts show next to nothing; how long a load told counts, less as it ages.
+// Probes a batch taken, where own counts show next to nothing, and the part of a batch's utility that they may
+// cost; how long a load told counts, less as it ages.
 const PROBES: f64 = 0.5;
+const PROBES_COST: f64 = 0.0055;
 const TOLD_LASTS: Span = Span::from_millis(1200);
 // A customer may run this far ahead of its share; beyond it, it gets engines filled to this part only.
 const SHARE_DEPTH: Span = Span::from_millis(2000);
@@ -798,9 +800,11 @@
 
     /// The engines to ask for a report now: the less this front's own count shows, the more of them.
     pub fn probes(&mut self) -> Vec<usize> {
-        let ready = self.engines.iter().filter(|(_, x)| self.caps.probes && x.is_ready());
+        let Some(price) = self.caps.probe_price else { return Vec::new() };
+        let ready = self.engines.iter().filter(|(_, x)| x.is_ready());
         let (ready, foreign): (Vec<usize>, Vec<f64>) = ready.map(|(e, x)| (*e, x.budgets.foreign())).unzip();
-        let rate = PROBES * foreign.iter().sum::<f64>() / (ready.len() as f64).max(1.0);
+        let most = PROBES.min(PROBES_COST / price.max(1e-9));
+        let rate = most * foreign.iter().sum::<f64>() / (ready.len() as f64).max(1.0);
         let now = (self.taken * rate).floor();
         self.taken -= if rate > 0.0 { now / rate } else { self.taken };
         (0..now as usize).map(|_| ready[self.chance.generate_range(0..ready.len())]).collect()
