A connection at hand counts as free budget, by the price of a new one in the settings

Change: the module knows from its own outcomes where this front has an idle connection, and weighs that on near ties by ten threads times the settings' price of a new one; at no price nothing changes.

--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -114,7 +114,7 @@
     let in_order = s.groups.iter().map(|g| g.in_order).collect();
     let referenced = s.groups.iter().map(|g| matches!(g.effect, Effect::Referenced { .. })).collect();
     let come_back = s.caps.come_back;
-    let caps = Caps { forgets: Some(RUNS_ON), ..s.caps };
+    let caps = Caps { forgets: Some(RUNS_ON), links_kept: Pool::kept(s.idle_close), ..s.caps };
     let policy = Policy::new(seed, s.fleet, s.groups, s.customers, caps, (s.cold, s.key_quiet), s.ration);
     State {
         clock,
--- a/front/src/state/pool.rs
+++ b/front/src/state/pool.rs
@@ -46,7 +46,11 @@
     /// to as it closes, and no sooner: each new connection costs its engine work and its batch a way there and back.
     pub fn new(most: usize, idle_close: Span) -> Pool {
         let seats = Seats::new((most - most / SPARE).max(1));
-        Pool { seats, idle: Mutex::default(), most, keep: idle_close * KEEP }
+        Pool { seats, idle: Mutex::default(), most, keep: Pool::kept(idle_close) }
+    }
+
+    pub fn kept(idle_close: Span) -> Span {
+        idle_close * KEEP
     }
 
     /// A seat is the right to one connection at a time. It is taken for a whole dispatch, so that what was
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -89,6 +89,7 @@
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct RawPrices {
+    handshake: f64,
     probe: f64,
 }
 
@@ -183,6 +184,8 @@
             call_off: raw.caps.cancel,
             probe_price: (raw.caps.probes && matches!(raw.stats.how.as_str(), "answers" | "probe"))
                 .then_some(raw.prices.probe),
+            link_price: raw.prices.handshake,
+            links_kept: Span::ZERO,
             most_dispatches: raw.caps.max_attempts,
             come_back: if raw.caps.retry_after { some(raw.caps.max_retry_after) } else { None },
             sets_memory: raw.domain.grants,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -45,6 +45,19 @@
     pub kinds: Option<Vec<usize>>,
 }
 
+impl ServiceGroup {
+    /// Its response goal, stretched by the work in seconds: what comes after that is late.
+    pub fn late_after(&self, work: Option<f64>) -> Span {
+        self.goal + Span::from_secs(self.goal_stretch * work.unwrap_or(0.0) / self.threads)
+    }
+
+    /// Rule 6.
+    pub fn may_go_to(&self, engine: &Engine) -> bool {
+        self.zones.as_ref().is_none_or(|z| z.contains(&engine.zone))
+            && self.kinds.as_ref().is_none_or(|k| k.contains(&engine.kind))
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     Repeatable,
@@ -76,6 +89,9 @@
     pub call_off: bool,
     /// What a probe costs, in parts of a batch's utility; `None` where an engine may not be asked for its report.
     pub probe_price: Option<f64>,
+    /// What a new connection costs, likewise, and how long one is kept that no batch uses.
+    pub link_price: f64,
+    pub links_kept: Span,
     pub most_dispatches: usize,
     /// The longest time to come back that clients heed, where they are told one at all.
     pub come_back: Option<Span>,
@@ -99,6 +115,15 @@
     pub warm_within: Span,
 }
 
+impl ColdRule {
+    /// Share of its capacity that an engine should have: the ramp is not told; straight, over the longest time.
+    pub fn warmth(&self, started: Option<At>, now: At) -> f64 {
+        let Some(started) = started else { return 1.0 };
+        let age = now.since(started) / (self.warm_within + Span::from_millis(500));
+        if age >= 1.0 { 1.0 } else { self.starts_at + (1.0 - self.starts_at) * age }
+    }
+}
+
 /// Further dispatches in any `window`: `free` plus `per_batch` times the batches taken.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RationRule {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -66,6 +66,8 @@
 const WARM_WORTH: f64 = 2.0;
 const WARM_SETS: usize = 4;
 const ZONE_WORTH: f64 = 1.0;
+// And a connection at hand, where a new one costs a whole batch.
+const LINK_WORTH: f64 = 10.0;
 // Probes a batch taken, where own counts show next to nothing, and the part of a batch's utility that they may
 // cost; how long a load told counts, less as it ages.
 const PROBES: f64 = 0.5;
@@ -240,13 +242,6 @@
     drawn: At,
 }
 
-/// Share of its capacity that an engine should have: the ramp is not told; straight, over the longest time.
-fn warmth(rule: &ColdRule, started: Option<At>, now: At) -> f64 {
-    let Some(started) = started else { return 1.0 };
-    let age = now.since(started) / (rule.warm_within + Span::from_millis(500));
-    if age >= 1.0 { 1.0 } else { rule.starts_at + (1.0 - rule.starts_at) * age }
-}
-
 impl Cold {
     fn allows(&mut self, rule: &ColdRule, share: f64, work: f64, now: At, chance: &mut WyRand) -> bool {
         while self.sent.front().is_some_and(|(at, _)| now.since(*at) > rule.window) {
@@ -369,6 +364,8 @@
     held: BTreeMap<u32, (usize, At)>,
     /// The data sets last sent there, the latest first.
     warm: VecDeque<u32>,
+    /// When a dispatch last ended there with a word of the engine's, which leaves its connection.
+    linked: Option<At>,
 }
 
 impl EngineNow {
@@ -463,11 +460,6 @@
     groups.iter().map(|g| groups.iter().filter(|o| before(o, g)).count().min(RANKS.len() - 1)).collect()
 }
 
-/// When an answer is late: the group's response goal, stretched by the work.
-fn late_after(group: &ServiceGroup, work: Option<f64>) -> Span {
-    group.goal + Span::from_secs(group.goal_stretch * work.unwrap_or(0.0) / group.threads)
-}
-
 /// Rule 2's first question. What was cut off and then turned away on another connection may still come in.
 fn proves_not_run(outcome: Outcome, seen: Seen) -> bool {
     matches!(outcome, Outcome::ConnectFailed | Outcome::Moot) || outcome == Outcome::Full && seen.same
@@ -495,12 +487,6 @@
     }
 }
 
-/// Rule 6.
-fn in_place(group: &ServiceGroup, engine: &Engine) -> bool {
-    group.zones.as_ref().is_none_or(|z| z.contains(&engine.zone))
-        && group.kinds.as_ref().is_none_or(|k| k.contains(&engine.kind))
-}
-
 impl Policy {
     pub fn new(
         seed: u64,
@@ -547,6 +533,7 @@
                 // Whatever was held against the process that ran there before says nothing of the new one.
                 engine.health = Health::default();
                 engine.warm.clear();
+                engine.linked = None;
                 engine.budgets.congested = false;
                 engine.heard = now;
             }
@@ -618,7 +605,7 @@
         let Some(i) = held.out.iter().position(|o| o.number == number) else { return Next::Over };
         let out = held.out.remove(i);
         let (g, group) = (held.batch.group, &self.groups[held.batch.group]);
-        let goal = late_after(group, answer.work.map(|w| w.secs()).or(held.work));
+        let goal = group.late_after(answer.work.map(|w| w.secs()).or(held.work));
         if answer.outcome == Outcome::Returned && !held.over {
             self.ration.returned(held.taken, now);
         }
@@ -673,6 +660,9 @@
         if bad.is_some() && answer.outcome != Outcome::TimedOut {
             engine.heard = now;
         }
+        if matches!(answer.outcome, Outcome::Returned | Outcome::Errored | Outcome::Full) {
+            engine.linked = Some(now);
+        }
         if bad.is_some_and(|bad| engine.health.see(bad, &mut self.bad, now)) {
             let word = if bad == Some(true) { "failing: outcomes" } else { "sound again: an outcome" };
             self.log.push(format!("engine {} {word}", out.engine));
@@ -754,7 +744,7 @@
         let (mut ready, mut congested) = (0.0, 0.0);
         for held in self.batches.values() {
             let g = held.batch.group;
-            let goal = late_after(&self.groups[g], held.work);
+            let goal = self.groups[g].late_after(held.work);
             let astray = self.usual[g].astray_from(held.work, self.threads[g]);
             for out in &held.out {
                 let Some(engine) = self.engines.get_mut(&out.engine) else { continue };
@@ -770,12 +760,12 @@
         let mut all = Pool::default();
         let mut pools: BTreeMap<usize, Pool> = BTreeMap::new();
         for x in self.engines.values().filter(|x| x.is_ready() && !x.health.failing) {
-            let warm = warmth(&self.cold, x.told.started, now);
+            let warm = self.cold.warmth(x.told.started, now);
             all.add(&x.budgets, 0, warm);
             pools.entry(x.told.kind).or_default().add(&x.budgets, 0, warm);
         }
         for (e, engine) in &mut self.engines {
-            let open = self.groups.iter().filter(|g| in_place(g, &engine.told)).map(|g| g.threads);
+            let open = self.groups.iter().filter(|g| g.may_go_to(&engine.told)).map(|g| g.threads);
             let pool = pools.get(&engine.told.kind).unwrap_or(&all);
             let full = engine.budgets.is_full(open.fold(1.0, f64::max), pool, 1.0);
             engine.budgets.tick(&self.ranks, &self.threads, &all, full, most);
@@ -833,14 +823,14 @@
         let mean = self.usual[g].mean();
         // With most engines judged failing the judgement itself is in doubt: go by budgets alone. Full but
         // sound ones count: what they have no room for must not spill onto a failing one.
-        let in_reach = |x: &EngineNow| x.is_ready() && in_place(group, &x.told);
+        let in_reach = |x: &EngineNow| x.is_ready() && group.may_go_to(&x.told);
         let reach = || self.engines.values().filter(|x| in_reach(x));
         let (all, failing) = reach().fold((0, 0), |(n, f), x| (n + 1, f + usize::from(x.health.failing)));
         let trusted = failing as f64 <= all as f64 * MOST_FAILING;
         let mut pools: BTreeMap<usize, Pool> = BTreeMap::new();
         for x in reach().filter(|x| !trusted || !x.health.failing) {
             let pool = pools.entry(x.told.kind).or_default();
-            pool.add(&x.budgets, g, warmth(&self.cold, x.told.started, now));
+            pool.add(&x.budgets, g, self.cold.warmth(x.told.started, now));
         }
         let none = Pool::default();
         let (mut best, mut ties): (Option<(usize, f64)>, u64) = (None, 0);
@@ -854,7 +844,7 @@
             {
                 continue;
             }
-            let (rule, warm) = (&self.cold, warmth(&self.cold, engine.told.started, now));
+            let (rule, warm) = (&self.cold, self.cold.warmth(engine.told.started, now));
             let all = rule.multiple * warm * self.fleet.cores(&engine.told) * 0.85 * rule.window.secs();
             let share = all / self.fleet.fronts as f64;
             if warm < 1.0 && all > 0.0 && !engine.cold.allows(rule, share, mean, now, &mut self.chance) {
@@ -863,12 +853,15 @@
             // Behind a holder it would stand still whatever its budget: such an engine comes last.
             let set = held.batch.data_set;
             let stands = (group.waits_for_holder || group.holds_data) && engine.holds(set, now);
+            let idle = engine.linked.filter(|_| engine.budgets.batches == 0);
+            let at_hand = idle.is_some_and(|at| now.since(at) < self.caps.links_kept);
             // Of two kinds the one whose pool is less full: a group bound to one kind leaves the other idle.
             let spare = (1.0 - pool.fill / pool.bears.max(1e-9)).clamp(-1.0, 1.0) * engine.budgets.foreign();
             let free = engine.budgets.free(g) - engine.crowded(now)
                 + spare * engine.budgets.ceiling
                 + if engine.warm.contains(&set) { WARM_WORTH } else { 0.0 }
                 + if engine.told.zone == self.fleet.zone { ZONE_WORTH } else { 0.0 }
+                + if at_hand { LINK_WORTH * self.caps.link_price } else { 0.0 }
                 - if stands || held.last_engine == Some(e) { 1e6 } else { 0.0 };
             // Ties go by lot: `ties` counts those with the most.
             let over = best.map_or(1.0, |(_, most)| free - most);
@@ -893,7 +886,7 @@
         engine.health.trial_at = now + engine.health.trial_gap;
         engine.budgets.running[g] += self.threads[g];
         engine.budgets.batches += 1;
-        if warmth(&self.cold, engine.told.started, now) < 1.0 {
+        if self.cold.warmth(engine.told.started, now) < 1.0 {
             engine.cold.sent.push_back((now, self.usual[g].mean()));
         }
         let priority = RANKS[self.ranks[g]].2;
@@ -931,7 +924,7 @@
             return Place::NotYet;
         }
         let usual = self.usual[g].astray_from(held.work, self.threads[g]);
-        let late_after = late_after(group, held.work);
+        let late_after = group.late_after(held.work);
         // Once: what is as slow elsewhere was estimated wrong, and calling it off again only wastes more.
         let may = !held.went_astray;
         for out in held.out.iter_mut().filter(|o| !o.called_off) {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -654,19 +654,51 @@
 }
 
 #[test]
-fn warm_data_sets_and_the_own_zone_break_near_ties() {
-    // (zone of the second engine, all in one data set, whether all go to one engine)
-    for (zone_1, one_set, one_engine) in [(0, true, true), (1, false, true), (0, false, false)] {
-        let mut front = Rig::default().start(2);
+fn warm_data_sets_the_own_zone_and_connections_at_hand_break_near_ties() {
+    // (zone of the second engine, all in one data set, price of a new connection, how long one is kept, whether all
+    // go to one engine)
+    let cases = [
+        (0, true, 0.0, 0, true),
+        (1, false, 0.0, 0, true),
+        (0, false, 0.0, 0, false),
+        (0, false, 0.1, 10, true),
+        (0, false, 0.0, 10, false),
+        // Let go before the next batch came.
+        (0, false, 0.1, 1, false),
+    ];
+    for (zone_1, one_set, link_price, kept, one_engine) in cases {
+        let mut rig = Rig::default();
+        (rig.caps.link_price, rig.caps.links_kept) = (link_price, Span::from_millis(kept));
+        let mut front = rig.start(2);
         front.policy.engine(ms(1), 1, Engine { zone: zone_1, ..engine() });
         let mut at_0 = 0;
         for at in 0..20 {
             let data_set = if one_set { 5 } else { 100 + at as u32 };
-            let (b, place) = front.take(at, Batch { data_set, ..batch(LOOK_UP) });
+            let (b, place) = front.take(3 * at, Batch { data_set, ..batch(LOOK_UP) });
             at_0 += usize::from(sent_to(place) == Some(0));
-            front.end(at, b, 0, Outcome::Returned, 1);
+            front.end(3 * at, b, 0, Outcome::Returned, 1);
+        }
+        let case = format!("zone {zone_1}, one set {one_set}, price {link_price}, kept {kept}");
+        assert_eq!(at_0 == 20 || at_0 == 0, one_engine, "{case}: {at_0} of 20");
+    }
+}
+
+#[test]
+fn probes_cost_a_part_of_a_batch_at_most() {
+    // (what a probe costs, probes at least and at most after 4,000 batches of one of many fronts)
+    for (price, least, most) in
+        [(None, 0, 0), (Some(0.0), 1000, 2000), (Some(0.011), 1000, 2000), (Some(0.11), 100, 200)]
+    {
+        let mut rig = Rig::default();
+        (rig.fleet.fronts, rig.caps.probe_price) = (300, price);
+        let mut front = rig.start(2);
+        let mut probes = 0;
+        for at in 0..4_000 {
+            let (b, _) = front.take(at, batch(LOOK_UP));
+            front.policy.client_left(b);
+            probes += front.policy.probes().len();
         }
-        assert_eq!(at_0 == 20 || at_0 == 0, one_engine, "zone {zone_1}, one set {one_set}: {at_0} of 20");
+        assert!((least..=most).contains(&probes), "at {price:?}: {probes}");
     }
 }
 
