Members: which fronts live, by rounds of asking, suspicion and claims that only grow

Need: fronts share nothing, and duties, shares, subsets and signals need to know who lives. The heart first, without input or output.

Nothing uses it yet.

On the way: a front with poor health read its own longer waits as having stood still, and suspects asked after each round made the cost grow with the fleet; both mended.

--- /dev/null
+++ b/members/tests/sim/mod.rs
@@ -0,0 +1,216 @@
+//! A fleet in one process: members, a net between them that loses, delays and cuts, and one queue of what happens when.
+
+use larchfall::time::{At, Span};
+use larchfall_members::claim::{About, Standing};
+use larchfall_members::members::{Change, Members, Reason, Settings};
+use larchfall_members::wire::Letter;
+use nanorand::{Rng, WyRand};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+pub fn ms(n: u64) -> Span {
+    Span::from_millis(n)
+}
+
+pub fn address(i: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, (i >> 8) as u8, i as u8), 7400)
+}
+
+pub fn name(i: usize) -> String {
+    format!("n{i:04}")
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        cluster: "toy".into(),
+        period: ms(500),
+        answer_within: ms(150),
+        helpers: 3,
+        remembered: ms(60_000),
+        tables_every: ms(3_000),
+        most: 4096,
+        networks: vec![(Ipv4Addr::new(10, 0, 0, 0), 8)],
+        seeds: vec![address(0), address(1)],
+    }
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Wake(usize, u64),
+    Letter(usize, usize, Vec<u8>),
+}
+
+pub struct Node {
+    pub members: Members,
+    pub up: bool,
+    /// Awake again then, if it stands still.
+    pub stopped: Option<At>,
+    /// Which start of a process this is; wakes of an earlier one are passed over.
+    life: u64,
+    woken_for: At,
+}
+
+/// A change that a front saw.
+pub struct Sight {
+    pub at: At,
+    pub by: usize,
+    pub change: Change,
+}
+
+pub struct Fleet {
+    pub now: At,
+    pub nodes: Vec<Node>,
+    pub sights: Vec<Sight>,
+    pub loss: f64,
+    /// Whether letters from the one reach the other.
+    pub link: Box<dyn Fn(usize, usize) -> bool>,
+    pub letters: u64,
+    pub bytes: u64,
+    pub longest: usize,
+    queue: BinaryHeap<Reverse<(At, u64, Event)>>,
+    events: u64,
+    chance: WyRand,
+}
+
+impl Fleet {
+    pub fn start(n: usize, seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            now: At::from_micros(1_000_000),
+            nodes: Vec::new(),
+            sights: Vec::new(),
+            loss: 0.0,
+            link: Box::new(|_, _| true),
+            letters: 0,
+            bytes: 0,
+            longest: 0,
+            queue: BinaryHeap::new(),
+            events: 0,
+            chance: WyRand::new_seed(seed),
+        };
+        for i in 0..n {
+            let node = fleet.node(i, 1);
+            fleet.nodes.push(node);
+            fleet.wake_at(i, fleet.now);
+        }
+        fleet
+    }
+
+    fn node(&mut self, i: usize, generation: u64) -> Node {
+        let about = About { address: address(i), zone: "east".into(), serves: 20 };
+        let members =
+            Members::new(&name(i), generation, about, settings(), self.chance.generate::<u64>(), self.now);
+        Node { members, up: true, stopped: None, life: generation, woken_for: At::default() }
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.nodes[i].up = false;
+    }
+
+    /// Stands still for so long: what comes waits in its socket.
+    pub fn stop(&mut self, i: usize, span: Span) {
+        self.nodes[i].stopped = Some(self.now + span);
+    }
+
+    pub fn restart(&mut self, i: usize) {
+        let life = self.nodes[i].life + 1;
+        self.nodes[i] = self.node(i, life);
+        self.wake_at(i, self.now);
+    }
+
+    fn push(&mut self, at: At, event: Event) {
+        self.events += 1;
+        self.queue.push(Reverse((at, self.events, event)));
+    }
+
+    fn wake_at(&mut self, i: usize, at: At) {
+        self.nodes[i].woken_for = at;
+        let life = self.nodes[i].life;
+        self.push(at, Event::Wake(i, life));
+    }
+
+    pub fn run(&mut self, span: Span) {
+        let until = self.now + span;
+        while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= until) {
+            let Some(Reverse((at, _, event))) = self.queue.pop() else { break };
+            self.now = at;
+            let (Event::Wake(i, _) | Event::Letter(i, ..)) = &event;
+            let i = *i;
+            if let Some(awake) = self.nodes[i].stopped {
+                if awake > at {
+                    self.push(awake, event);
+                    continue;
+                }
+                self.nodes[i].stopped = None;
+            }
+            if !self.nodes[i].up {
+                continue;
+            }
+            let out = match event {
+                Event::Wake(_, life) if life != self.nodes[i].life || at < self.nodes[i].woken_for => {
+                    continue;
+                }
+                Event::Wake(..) => self.nodes[i].members.wake(at),
+                Event::Letter(_, from, bytes) => {
+                    let letter = Letter::open(&bytes, "toy").expect("what members write can be read");
+                    self.nodes[i].members.hear(address(from), &letter, at).unwrap_or_default()
+                }
+            };
+            for change in out.changes {
+                self.sights.push(Sight { at, by: i, change });
+            }
+            for (to, letter) in out.letters {
+                let bytes = letter.seal();
+                self.letters += 1;
+                self.bytes += bytes.len() as u64;
+                self.longest = self.longest.max(bytes.len());
+                let [_, _, high, low] = to.ip().octets();
+                let to = usize::from(high) << 8 | usize::from(low);
+                if to < self.nodes.len() && (self.link)(i, to) && self.chance.generate::<f64>() >= self.loss {
+                    let delay = Span::from_micros(self.chance.generate_range(100..5_000));
+                    self.push(at + delay, Event::Letter(to, i, bytes));
+                }
+            }
+            let due = self.nodes[i].members.due().max(at + Span::from_millis(1));
+            if due != self.nodes[i].woken_for {
+                self.wake_at(i, due);
+            }
+        }
+        self.now = until;
+    }
+
+    /// Runs in steps until this holds; the time that took, or none within so long.
+    pub fn until(&mut self, within: Span, holds: impl Fn(&Fleet) -> bool) -> Option<Span> {
+        let from = self.now;
+        while !holds(self) {
+            if self.now.since(from) >= within {
+                return None;
+            }
+            self.run(ms(20));
+        }
+        Some(self.now.since(from))
+    }
+
+    /// What this front holds of that one.
+    pub fn held(&self, by: usize, of: usize) -> Option<Standing> {
+        self.nodes[by].members.table().get(&name(of)).map(|m| m.claim.standing)
+    }
+
+    /// All that are up hold exactly those for alive.
+    pub fn agrees(&self) -> bool {
+        let up = |i: &usize| self.nodes[*i].up;
+        let right = |by: usize, of: usize| (self.held(by, of) == Some(Standing::Alive)) == self.nodes[of].up;
+        let all = || 0..self.nodes.len();
+        all().filter(up).all(|by| all().all(|of| right(by, of)))
+    }
+
+    /// How often a front that was up was held for dead.
+    pub fn buried_alive(&self, from: At) -> usize {
+        let unrefuted = |s: &&Sight| s.at >= from && s.change.reason == Reason::Unrefuted;
+        self.sights
+            .iter()
+            .filter(unrefuted)
+            .filter(|s| (0..self.nodes.len()).any(|i| name(i) == s.change.name && self.nodes[i].up))
+            .count()
+    }
+}
