--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod board;
 pub mod doors;
 pub mod engines;
+pub mod fronts;
 pub mod intake;
 pub mod run;
 pub mod state;
--- a/front/src/run/reload.rs
+++ b/front/src/run/reload.rs
@@ -4,6 +4,7 @@
 use super::config::{self, Config};
 use crate::board;
 use crate::doors::rest::Door;
+use crate::fronts::Fronts;
 use crate::state::State;
 use crate::state::clock::wait;
 use larchfall::time::Span;
@@ -38,7 +39,7 @@
     state: &Arc<State>,
     mut asked: CoIo<UnixStream>,
     files: &Files,
-    door: Option<&Arc<Door>>,
+    (door, fronts): (Option<&Arc<Door>>, Option<&Fronts>),
     seed: u64,
 ) {
     let mut byte = [0];
@@ -48,6 +49,9 @@
             if let Some((door, rest)) = door.zip(site.rest) {
                 door.reload(rest);
             }
+            if let Some((fronts, site)) = fronts.zip(site.fronts) {
+                fronts.set(site.settings);
+            }
             for event in &config.known {
                 board::take(state, event);
             }
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -5,6 +5,7 @@
 use crate::doors::rest::{self, Door};
 use crate::doors::rpc;
 use crate::engines::platform::RUNS_ON;
+use crate::fronts::{self, Fronts};
 use crate::state::State;
 use crate::state::clock::{Clock, wait};
 use crate::state::counters::Counters;
@@ -16,6 +17,7 @@
 use larchfall::interface::{Caps, Effect};
 use larchfall::policy::Policy;
 use larchfall::time::Span;
+use larchfall_members::claim::About;
 use larchfall_site::Site;
 use may::net::TcpListener;
 use slog::{info, warn};
@@ -37,7 +39,8 @@
     may::config().set_workers(1).set_stack_size(STACK / size_of::<usize>()).set_worker_pin(false);
     let address = config.listen;
     let listener = listen(address)?;
-    let (site_file, rest) = site.map_or((None, None), |(file, site)| (Some(file), site.rest));
+    let (site_file, rest, fronts) =
+        site.map_or((None, None, None), |(file, site)| (Some(file), site.rest, site.fronts));
     let rest = match rest {
         Some(site) => {
             let door = Door::new(site.clone(), config.seed)
@@ -69,9 +72,14 @@
         info!(state.log, "listening for rest"; "connections" => site.connections, "results" => site.caps.results,
             "address" => listener.local_addr().unwrap_or(site.listen.into()).to_string());
     }
+    let fronts = fronts.map(|site| join_fronts(&state, site, seed)).transpose()?;
     let main = {
         let state = state.clone();
         may::go!(move || {
+            if let Some(fronts) = fronts.clone() {
+                let state = state.clone();
+                may::go!(move || fronts::run(&state, &fronts));
+            }
             let (s1, s2, s3) = (state.clone(), state.clone(), state.clone());
             let door = rest.as_ref().map(|(door, ..)| door.clone());
             let of_timer = door.clone();
@@ -79,9 +87,15 @@
             let era = s2.next_board();
             may::go!(move || board::follow(&s2, board_address, seed, era));
             if let Some(asked) = signals.reload.take() {
-                let (state, door) = (state.clone(), door.clone());
+                let (state, door, fronts) = (state.clone(), door.clone(), fronts.clone());
                 let files = reload::Files { config: file, site: site_file };
-                may::go!(move || reload::on_signal(&state, asked, &files, door.as_ref(), seed));
+                may::go!(move || reload::on_signal(
+                    &state,
+                    asked,
+                    &files,
+                    (door.as_ref(), fronts.as_deref()),
+                    seed
+                ));
             }
             let looker = state.clone();
             may::go!(move || timer::look_for_events(&looker, looks));
@@ -90,7 +104,7 @@
                 let state = state.clone();
                 may::go!(move || rest::accept(&state, &listener, &door));
             }
-            stop::until_ended(&state, signals, door.as_ref());
+            stop::until_ended(&state, signals, door.as_ref(), fronts);
         })
     };
     let ended = main.join();
@@ -98,6 +112,15 @@
     ended.map_err(|_| (1, "the coroutine that waits for signals panicked".to_owned()))
 }
 
+/// Opens the socket between fronts; who is there is found out once it runs.
+fn join_fronts(state: &State, site: larchfall_site::Fronts, seed: u64) -> Result<Arc<Fronts>, (u8, String)> {
+    let about = About { address: site.told, zone: site.zone, serves: site.serves };
+    let opened = Fronts::open(&site.name, site.address, about, site.settings, seed, state.clock.now());
+    let fronts = opened.map_err(|e| (2, format!("fronts.address: {}: {e}", site.address)))?;
+    info!(state.log, "fronts: listening"; "name" => &site.name, "address" => fronts.address().to_string());
+    Ok(fronts)
+}
+
 /// may's listener shares its port with any other of ours; a plain one finds out whether the port is free.
 fn listen(address: SocketAddrV4) -> Result<TcpListener, (u8, String)> {
     let free = std::net::TcpListener::bind(address).map(drop);
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -2,6 +2,7 @@
 //! answers what it holds, and ends before it can be killed.
 
 use crate::doors::rest::Door;
+use crate::fronts::Fronts;
 use crate::state::State;
 use crate::state::clock::wait;
 use larchfall::time::Span;
@@ -46,17 +47,28 @@
 }
 
 /// Blocks until this front has ended.
-pub fn until_ended(state: &Arc<State>, signals: Signals, door: Option<&Arc<Door>>) {
+pub fn until_ended(
+    state: &Arc<State>,
+    signals: Signals,
+    door: Option<&Arc<Door>>,
+    fronts: Option<Arc<Fronts>>,
+) {
     let Signals { mut term, mut ask, .. } = signals;
-    let asked = state.clone();
+    let (asked, told_of) = (state.clone(), fronts.clone());
     may::go!(move || {
         let mut byte = [0];
         while matches!(ask.read(&mut byte), Ok(1)) {
             asked.log_counters();
+            if let Some(fronts) = &told_of {
+                fronts.log(&asked);
+            }
         }
     });
     let _ = term.read(&mut [0]);
     let told = state.clock.now();
+    if let Some(fronts) = &fronts {
+        fronts.leave(state);
+    }
     let longest = state.group_limits.iter().max().copied().unwrap_or_default().min(LONGEST_WAIT);
     let ends = told + (longest + KILL_AFTER).saturating_sub(LAST_ANSWERS);
     state.end_at(ends);
--- a/front/tests/front/main.rs
+++ b/front/tests/front/main.rs
@@ -3,6 +3,7 @@
 mod codecs;
 mod common;
 mod cost;
+mod fronts;
 mod memory;
 mod rest;
 mod sockets;
--- a/site/src/lib.rs
+++ b/site/src/lib.rs
@@ -2,6 +2,8 @@
 //! or not at all; what it does not name is off. Faults are said with the line and the field.
 
 use larchfall::time::Span;
+use larchfall_members::claim::LONGEST;
+use larchfall_members::members::Settings as Members;
 use larchfall_rest::cursor::Window;
 use larchfall_rest::results::Caps;
 use larchfall_rest::words::{Family, Source, Sources};
@@ -13,6 +15,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct Site {
     pub rest: Option<Rest>,
+    pub fronts: Option<Fronts>,
+}
+
+/// The fronts among themselves.
+#[derive(Clone, Debug)]
+pub struct Fronts {
+    pub name: String,
+    pub address: SocketAddrV4,
+    /// Where others are told that it listens.
+    pub told: SocketAddrV4,
+    pub zone: String,
+    /// Batches a second that this front is meant to take, as others are told.
+    pub serves: u32,
+    pub settings: Members,
 }
 
 /// The paged REST protocol for clients.
@@ -36,6 +52,33 @@
 #[serde(deny_unknown_fields)]
 struct Raw {
     rest: Option<RawRest>,
+    fronts: Option<RawFronts>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct RawFronts {
+    cluster: Spanned<String>,
+    name: Spanned<String>,
+    address: Spanned<String>,
+    #[serde(default)]
+    told: Option<Spanned<String>>,
+    seeds: Vec<Spanned<String>>,
+    networks: Vec<Spanned<String>>,
+    #[serde(default)]
+    zone: Option<Spanned<String>>,
+    #[serde(default)]
+    serves: u32,
+    #[serde(default = "period_ms")]
+    period_ms: Spanned<u64>,
+    #[serde(default = "answer_ms")]
+    answer_ms: Spanned<u64>,
+    #[serde(default = "table_ms")]
+    table_ms: Spanned<u64>,
+    #[serde(default = "remembered_ms")]
+    remembered_ms: Spanned<u64>,
+    #[serde(default = "most")]
+    most: Spanned<usize>,
 }
 
 #[derive(Deserialize)]
@@ -71,6 +114,21 @@
     Spanned::new(0..0, value)
 }
 
+fn period_ms() -> Spanned<u64> {
+    unsaid(500)
+}
+fn answer_ms() -> Spanned<u64> {
+    unsaid(150)
+}
+fn table_ms() -> Spanned<u64> {
+    unsaid(3_000)
+}
+fn remembered_ms() -> Spanned<u64> {
+    unsaid(60_000)
+}
+fn most() -> Spanned<usize> {
+    unsaid(1_024)
+}
 fn connections() -> Spanned<usize> {
     unsaid(32)
 }
@@ -110,25 +168,95 @@
         let at = e.span().map_or(String::new(), |span| format!("line {}: ", line(text, span.start)));
         format!("{at}{}", e.message())
     })?;
-    Ok(Site { rest: raw.rest.map(|raw| rest(text, raw, names)).transpose()? })
+    let fronts = raw.fronts.map(|raw| fronts(text, raw)).transpose()?;
+    Ok(Site { rest: raw.rest.map(|raw| rest(text, raw, names)).transpose()?, fronts })
 }
 
 fn line(text: &str, at: usize) -> usize {
     1 + text.as_bytes()[..at.min(text.len())].iter().filter(|b| **b == b'\n').count()
 }
 
-fn rest(text: &str, raw: RawRest, names: &Names) -> Result<Rest, String> {
-    let fault = |at: usize, field: &str, why: &str| format!("line {}: rest.{field}: {why}", line(text, at));
-    let within = |value: &Spanned<usize>, field: &str, from: usize, to: usize| {
+/// One table of the file: what is wrong with a field of it is said with its line and name.
+struct Table<'a> {
+    text: &'a str,
+    name: &'static str,
+}
+
+impl Table<'_> {
+    fn fault(&self, at: usize, field: &str, why: &str) -> String {
+        format!("line {}: {}.{field}: {why}", line(self.text, at), self.name)
+    }
+
+    fn number(&self, value: &Spanned<usize>, field: &str, from: usize, to: usize) -> Result<usize, String> {
         let n = *value.get_ref();
-        let why = || fault(value.span().start, field, &format!("{n} is not within {from} to {to}"));
+        let why = || self.fault(value.span().start, field, &format!("{n} is not within {from} to {to}"));
         (from..=to).contains(&n).then_some(n).ok_or_else(why)
-    };
-    let time = |value: &Spanned<u64>, field: &str, from: u64, to: u64| {
+    }
+
+    fn time(&self, value: &Spanned<u64>, field: &str, from: u64, to: u64) -> Result<Span, String> {
         let n = *value.get_ref();
-        let why = || fault(value.span().start, field, &format!("{n} ms is not within {from} to {to}"));
+        let why = || self.fault(value.span().start, field, &format!("{n} ms is not within {from} to {to}"));
         (from..=to).contains(&n).then_some(Span::from_millis(n)).ok_or_else(why)
+    }
+}
+
+fn fronts(text: &str, raw: RawFronts) -> Result<Fronts, String> {
+    let table = Table { text, name: "fronts" };
+    let fault = |at: usize, field: &str, why: &str| table.fault(at, field, why);
+    let name = |value: &Spanned<String>, field: &str| {
+        let why = format!("wanted 1 to {LONGEST} bytes");
+        let fits = (1..=LONGEST).contains(&value.get_ref().len());
+        fits.then(|| value.get_ref().clone()).ok_or_else(|| fault(value.span().start, field, &why))
+    };
+    let time = |value: &Spanned<u64>, field: &str, from, to| table.time(value, field, from, to);
+    let address = |value: &Spanned<String>, field: &str| {
+        let why = |_| fault(value.span().start, field, "no IPv4 address with a port");
+        value.get_ref().parse::<SocketAddrV4>().map_err(why)
     };
+    let network = |value: &Spanned<String>| {
+        let (at, bits) = value.get_ref().split_once('/').unwrap_or((value.get_ref(), "32"));
+        let read = at.parse().ok().zip(bits.parse().ok().filter(|bits| *bits <= 32));
+        read.ok_or_else(|| {
+            fault(value.span().start, "networks", "wanted an address and its bits, as 10.0.0.0/24")
+        })
+    };
+    let period = time(&raw.period_ms, "period-ms", 50, 60_000)?;
+    let answer_within = time(&raw.answer_ms, "answer-ms", 10, 60_000)?;
+    if answer_within * 2.0 > period {
+        let why = "others that are asked to help need as long again within a period";
+        return Err(fault(raw.answer_ms.span().start, "answer-ms", why));
+    }
+    let settings = Members {
+        cluster: name(&raw.cluster, "cluster")?,
+        period,
+        answer_within,
+        helpers: 3,
+        remembered: time(&raw.remembered_ms, "remembered-ms", 1_000, 3_600_000)?,
+        tables_every: time(&raw.table_ms, "table-ms", 100, 600_000)?,
+        most: table.number(&raw.most, "most", 2, 65_536)?,
+        networks: raw.networks.iter().map(network).collect::<Result<_, _>>()?,
+        seeds: raw.seeds.iter().map(|seed| address(seed, "seeds")).collect::<Result<_, _>>()?,
+    };
+    let listens = address(&raw.address, "address")?;
+    let told = raw.told.as_ref().map(|told| address(told, "told")).transpose()?.unwrap_or(listens);
+    if told.port() == 0 || told.ip().is_unspecified() {
+        return Err(fault(raw.address.span().start, "address", "others need an address and a port of it"));
+    }
+    Ok(Fronts {
+        name: name(&raw.name, "name")?,
+        address: listens,
+        told,
+        zone: raw.zone.map(|zone| name(&zone, "zone")).transpose()?.unwrap_or_default(),
+        serves: raw.serves,
+        settings,
+    })
+}
+
+fn rest(text: &str, raw: RawRest, names: &Names) -> Result<Rest, String> {
+    let table = Table { text, name: "rest" };
+    let fault = |at: usize, field: &str, why: &str| table.fault(at, field, why);
+    let within = |value: &Spanned<usize>, field: &str, from, to| table.number(value, field, from, to);
+    let time = |value: &Spanned<u64>, field: &str, from, to| table.time(value, field, from, to);
     let listen = raw.listen.get_ref().parse();
     let listen = listen.map_err(|_| fault(raw.listen.span().start, "listen", "no address with a port"))?;
     if let Some(base) = &raw.base
