Processes of a fleet: islands, a flapping link, two thirds killed, a name twice

Need: hard cases of the fronts among themselves that were played in one process only.

Change: tests of 6 to 12 processes: three islands of 12, a link that flaps every half period, 8 of 12 killed at once with both seeds among them, back within a period as another generation, two processes with one name.

--- a/front/tests/front/fronts.rs
+++ b/front/tests/front/fronts.rs
@@ -18,12 +18,13 @@
     format!("n{i:02}")
 }
 
-fn fronts_table(net: &Net, i: usize, seeds: &[usize]) -> String {
+/// The file of the front at place `i` of the net, under the name of `called`.
+fn fronts_table(net: &Net, i: usize, called: usize, seeds: &[usize]) -> String {
     let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{}\"", net.address(*s))).collect();
     format!(
         "[fronts]\ncluster = \"toy\"\nname = \"{}\"\naddress = \"{}\"\ntold = \"{}\"\nseeds = [{}]\n\
          networks = [\"127.0.0.0/8\"]\nzone = \"east\"\nperiod-ms = {}\nanswer-ms = 60\ntable-ms = 600\n",
-        name(i),
+        name(called),
         net.home(i),
         net.address(i),
         seeds.join(", "),
@@ -44,9 +45,15 @@
 
     /// A process under this name, the first or another.
     fn begin(&mut self, i: usize) {
+        self.begin_as(i, i);
+    }
+
+    fn begin_as(&mut self, i: usize, called: usize) {
+        // Two at one address would be one too many.
+        self.fronts[i] = None;
         let board = Board::start("127.0.0.1:0").unwrap();
         let text = config("127.0.0.1:0", board.address, None, 256);
-        let site = fronts_table(&self.net, i, &[0, 1]);
+        let site = fronts_table(&self.net, i, called, &[0, 1]);
         self.fronts[i] = Some(Front::start_members(board, &text, &site));
     }
 
@@ -122,21 +129,74 @@
 }
 
 #[test]
-fn halves_of_a_split_hold_each_other_for_dead_and_agree_once_it_heals() {
-    let fleet = Fleet::start(8, 13);
+fn islands_hold_each_other_for_dead_and_agree_once_they_are_joined() {
+    // (fronts, islands, seed)
+    for (n, islands, seed) in [(8, 2, 13), (12, 3, 17)] {
+        let fleet = Fleet::start(n, seed);
+        fleet.joined();
+        fleet.net.set(|a, b| a % islands != b % islands, Link { cut: true, ..SOUND });
+        wait_for("each island to hold the others for dead", || {
+            let dead = |by: usize, of: usize| fleet.held(by, of).as_deref() == Some("dead");
+            let all = |by: usize| (0..n).filter(|of| of % islands != by % islands).all(|of| dead(by, of));
+            (0..n).all(all).then_some(())
+        });
+        // A file read again in the middle of it changes seeds, and keeps who is known.
+        fleet.front(0).reload_site(&fronts_table(&fleet.net, 0, 0, &[1, 3]));
+        fleet.front(0).log.wait_for("configuration read again");
+        fleet.net.heal();
+        fleet.joined();
+    }
+}
+
+#[test]
+fn a_link_that_flaps_buries_nobody() {
+    let fleet = Fleet::start(6, 18);
     fleet.joined();
-    fleet.net.set(|a, b| a % 2 != b % 2, Link { cut: true, ..SOUND });
-    let (even, odd): (Vec<usize>, Vec<usize>) = (0..8).partition(|i| i % 2 == 0);
-    wait_for("both sides to hold the other for dead", || {
-        let dead = |by: &usize, of: &usize| fleet.held(*by, *of).as_deref() == Some("dead");
-        let all = even.iter().all(|a| odd.iter().all(|b| dead(a, b) && dead(b, a)));
-        all.then_some(())
-    });
-    // A file read again in the middle of it changes seeds, and keeps who is known.
-    fleet.front(0).reload_site(&fronts_table(&fleet.net, 0, &[1, 3]));
-    fleet.front(0).log.wait_for("configuration read again");
+    for flap in 0..24 {
+        let link = Link { cut: flap % 2 == 0, ..SOUND };
+        fleet.net.set(|a, b| (a == 2) != (b == 2), link);
+        let from = Instant::now();
+        wait_for("half a period", || (from.elapsed() > PERIOD / 2).then_some(()));
+    }
     fleet.net.heal();
+    assert_eq!(fleet.deaths(), 0, "seed 18");
+    fleet.joined();
+}
+
+#[test]
+fn most_of_a_fleet_killed_at_once_and_started_again_agrees() {
+    let mut fleet = Fleet::start(12, 19);
+    fleet.joined();
+    let killed: Vec<usize> = (0..8).collect();
+    killed.iter().for_each(|i| fleet.fronts[*i] = None);
+    // Both seeds are among them: those who stay look for the dead at their addresses, and are found so.
+    killed.iter().skip(2).for_each(|i| fleet.begin(*i));
+    let back: Vec<usize> = (2..12).collect();
+    fleet.wait_until_held(&back, "alive");
+    fleet.wait_until_held(&[0, 1], "dead");
+    killed.iter().take(2).for_each(|i| fleet.begin(*i));
+    fleet.joined();
+}
+
+#[test]
+fn back_within_a_period_is_another_generation_and_of_two_with_one_name_the_later_has_it() {
+    let mut fleet = Fleet::start(6, 20);
     fleet.joined();
+    let generation = |fleet: &Fleet, by: usize| {
+        let line = fleet.front(by).log.last("fronts: n04 is alive")?;
+        line.split("generation: ").nth(1)?.split(',').next()?.parse::<u64>().ok()
+    };
+    let before = generation(&fleet, 0).unwrap();
+    fleet.begin(4);
+    wait_for("the next generation to be known to all", || {
+        let newer = |by: usize| generation(&fleet, by).is_some_and(|g| g > before);
+        [0, 1, 2, 3, 5].into_iter().all(newer).then_some(())
+    });
+    // A second process under that name, at another address of the net.
+    fleet.fronts[5] = None;
+    fleet.begin_as(5, 4);
+    fleet.front(4).log.wait_for("another process has this name");
+    assert_eq!(fleet.front(5).log.count("another process has this name"), 0);
 }
 
 #[test]
