The module counts the fronts that live, where the operator's file says so

Need: even shares and a cold engine's allowance are divided by the settings' number of fronts, whoever lives.

Change: a count that goes up at once, down by steps after a stated time, and not down while most fell silent or nobody else is in sight; Policy::count takes it.

Measured: table tests of the count and of the allowance by it; six processes: one cut off goes on counting six while the others count five, and four after two deaths.

--- a/front/src/fronts/mod.rs
+++ b/front/src/fronts/mod.rs
@@ -6,6 +6,7 @@
 use crate::state::lock;
 use larchfall::time::{At, Span};
 use larchfall_members::claim::{About, Standing};
+use larchfall_members::count::Count;
 use larchfall_members::members::{Members, Out, Refused, Settings};
 use larchfall_members::wire::{Letter, MOST_BYTES, Unreadable};
 use may::net::UdpSocket;
@@ -39,6 +40,8 @@
 
 pub struct Fronts {
     members: Mutex<Members>,
+    /// How many fronts the module is to count, where it follows the living.
+    count: Option<Mutex<Count>>,
     socket: UdpSocket,
     cluster: String,
     counters: Counters,
@@ -52,6 +55,7 @@
         bind: SocketAddrV4,
         about: About,
         settings: Settings,
+        count: Option<Count>,
         seed: u64,
         now: At,
     ) -> io::Result<Arc<Fronts>> {
@@ -59,7 +63,14 @@
         let cluster = settings.cluster.clone();
         let members = Members::new(name, now.micros(), about, settings, seed, now);
         let (counters, over) = (Counters::default(), AtomicBool::new(false));
-        Ok(Arc::new(Fronts { members: Mutex::new(members), socket, cluster, counters, over }))
+        Ok(Arc::new(Fronts {
+            members: Mutex::new(members),
+            count: count.map(Mutex::new),
+            socket,
+            cluster,
+            counters,
+            over,
+        }))
     }
 
     pub fn address(&self) -> SocketAddrV4 {
@@ -100,6 +111,18 @@
         }
     }
 
+    /// Tells the module when another number of fronts is to be counted.
+    fn count(&self, state: &State, now: At, before: usize) -> usize {
+        let Some(count) = &self.count else { return before };
+        let fleet = lock(&self.members).fleet();
+        let counted = lock(count).see(fleet, now);
+        if counted != before {
+            state.facade.count(counted);
+            info!(state.log, "fronts: counted {}", counted; "live" => fleet.live, "silent" => fleet.silent);
+        }
+        counted
+    }
+
     /// Sends what is to be sent and logs what changed. No lock is held here.
     fn take(&self, state: &State, out: Out) {
         for change in out.changes {
@@ -153,6 +176,7 @@
 pub fn run(state: &State, fronts: &Fronts) {
     let mut bytes = [0; MOST_BYTES + 1];
     let (mut taken, mut window) = (0, state.clock.now());
+    let mut counted = 0;
     while !fronts.over.load(Ordering::Relaxed) {
         let now = state.clock.now();
         let due = {
@@ -162,6 +186,7 @@
         };
         if let Some(out) = due.1 {
             fronts.take(state, out);
+            counted = fronts.count(state, now, counted);
         }
         if now.since(window) >= EACH {
             (taken, window) = (0, now);
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -18,6 +18,7 @@
 use larchfall::policy::Policy;
 use larchfall::time::Span;
 use larchfall_members::claim::About;
+use larchfall_members::count::Count;
 use larchfall_site::Site;
 use may::net::TcpListener;
 use slog::{info, warn};
@@ -60,6 +61,7 @@
     let (log, _writes_the_rest) = log::start(&config.name);
     let (seed, board_address) = (config.seed, config.board);
     let known = config.known;
+    let named = config.settings.fleet.fronts;
     let state = Arc::new(start(config.settings, limits, seed, log));
     for event in &known {
         board::take(&state, event);
@@ -72,7 +74,7 @@
         info!(state.log, "listening for rest"; "connections" => site.connections, "results" => site.caps.results,
             "address" => listener.local_addr().unwrap_or(site.listen.into()).to_string());
     }
-    let fronts = fronts.map(|site| join_fronts(&state, site, seed)).transpose()?;
+    let fronts = fronts.map(|site| join_fronts(&state, site, named, seed)).transpose()?;
     let main = {
         let state = state.clone();
         may::go!(move || {
@@ -112,10 +114,18 @@
     ended.map_err(|_| (1, "the coroutine that waits for signals panicked".to_owned()))
 }
 
-/// Opens the socket between fronts; who is there is found out once it runs.
-fn join_fronts(state: &State, site: larchfall_site::Fronts, seed: u64) -> Result<Arc<Fronts>, (u8, String)> {
+/// Opens the socket between fronts; who is there is found out once it runs, and until then as many count as the
+/// settings name.
+fn join_fronts(
+    state: &State,
+    site: larchfall_site::Fronts,
+    named: usize,
+    seed: u64,
+) -> Result<Arc<Fronts>, (u8, String)> {
     let about = About { address: site.told, zone: site.zone, serves: site.serves };
-    let opened = Fronts::open(&site.name, site.address, about, site.settings, seed, state.clock.now());
+    let now = state.clock.now();
+    let count = site.count.map(|settings| Count::new(settings, named, now));
+    let opened = Fronts::open(&site.name, site.address, about, site.settings, count, seed, now);
     let fronts = opened.map_err(|e| (2, format!("fronts.address: {}: {e}", site.address)))?;
     info!(state.log, "fronts: listening"; "name" => &site.name, "address" => fronts.address().to_string());
     Ok(fronts)
--- a/front/src/state/facade.rs
+++ b/front/src/state/facade.rs
@@ -111,6 +111,11 @@
         lock(&self.inner).policy.lost(self.clock.now(), b);
     }
 
+    /// So many fronts are to be counted.
+    pub fn count(&self, fronts: usize) {
+        lock(&self.inner).policy.count(fronts);
+    }
+
     /// This front ends then.
     pub fn end_by(&self, at: At) {
         lock(&self.inner).policy.end_by(at);
--- a/front/tests/front/fronts.rs
+++ b/front/tests/front/fronts.rs
@@ -23,7 +23,8 @@
     let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{}\"", net.address(*s))).collect();
     format!(
         "[fronts]\ncluster = \"toy\"\nname = \"{}\"\naddress = \"{}\"\ntold = \"{}\"\nseeds = [{}]\n\
-         networks = [\"127.0.0.0/8\"]\nzone = \"east\"\nperiod-ms = {}\nanswer-ms = 60\ntable-ms = 600\n",
+         networks = [\"127.0.0.0/8\"]\nzone = \"east\"\nperiod-ms = {}\nanswer-ms = 60\ntable-ms = 600\n\
+         shares = true\ncount-within-ms = 500\ncount-step-ms = 100\n",
         name(called),
         net.home(i),
         net.address(i),
@@ -148,6 +149,29 @@
     }
 }
 
+/// Guards against a front that is cut off and takes what it sees for all there is: it would feed a cold engine alone
+/// what all were to feed it together.
+#[test]
+fn the_fronts_counted_follow_the_living_and_not_those_out_of_sight() {
+    let mut fleet = Fleet::start(6, 21);
+    fleet.joined();
+    let counted = |fleet: &Fleet, by: usize| {
+        let line = fleet.front(by).log.last("fronts: counted ")?;
+        line.split("counted ").nth(1)?.split(',').next()?.parse::<usize>().ok()
+    };
+    wait_for("all six to count", || (0..6).all(|i| counted(&fleet, i) == Some(6)).then_some(()));
+    // Cut off, it holds all others for dead at last, and still counts them; they go on without it.
+    fleet.net.set(|a, b| (a == 5) != (b == 5), Link { cut: true, ..SOUND });
+    wait_for("the others to count five", || (0..5).all(|i| counted(&fleet, i) == Some(5)).then_some(()));
+    assert_eq!(counted(&fleet, 5), Some(6));
+    fleet.net.heal();
+    wait_for("all six again", || (0..6).all(|i| counted(&fleet, i) == Some(6)).then_some(()));
+    // Two that die are not counted in the end; those who die after them may as well be the larger side of a split.
+    fleet.fronts[4] = None;
+    fleet.fronts[5] = None;
+    wait_for("four to count", || (0..4).all(|i| counted(&fleet, i) == Some(4)).then_some(()));
+}
+
 #[test]
 fn a_link_that_flaps_buries_nobody() {
     let fleet = Fleet::start(6, 18);
--- a/members/src/count.rs
+++ b/members/src/count.rs
@@ -26,9 +26,10 @@
 }
 
 impl Fleet {
-    /// Those in sight are most of all that may live: what is out of sight is the smaller side, or none.
+    /// Those in sight are most of all that may live: what is out of sight is the smaller side, or none. A front that
+    /// sees nobody else may be cut off, or just started.
     fn sees_most(self) -> bool {
-        self.live > self.silent
+        self.live > self.silent.max(1)
     }
 }
 
@@ -42,8 +43,9 @@
 }
 
 impl Count {
-    pub fn new(settings: Settings, now: At) -> Count {
-        let counted = settings.least.max(1);
+    /// `at_first` are counted until more are seen, or enough to go down from there.
+    pub fn new(settings: Settings, at_first: usize, now: At) -> Count {
+        let counted = at_first.max(settings.least).max(1);
         Count { settings, most: VecDeque::new(), counted, stepped: now }
     }
 
--- a/members/src/members.rs
+++ b/members/src/members.rs
@@ -3,6 +3,7 @@
 //! changed. SWIM's rounds, suspicion and incarnations, with Lifeguard's care for a front that is slow itself.
 
 use crate::claim::{About, Claim, Rumour, Standing, refuted};
+use crate::count::Fleet;
 use crate::health::{Health, Sign};
 use crate::rumours::Rumours;
 use crate::suspicion::Suspicion;
@@ -178,6 +179,12 @@
         self.table.iter().filter(|(_, m)| !m.claim.is_final())
     }
 
+    /// What this front sees of the fleet, for a count of it.
+    pub fn fleet(&self) -> Fleet {
+        let silent = self.table.values().filter(|m| m.claim.standing == Standing::Dead).count();
+        Fleet { live: self.live().count(), silent }
+    }
+
     /// Seeds and periods may change while it runs; what is known stays.
     pub fn set(&mut self, settings: Settings) {
         self.settings = settings;
--- a/members/tests/parts.rs
+++ b/members/tests/parts.rs
@@ -139,7 +139,7 @@
         (99, 11, 2, 11),
         (100, 1, 0, 11),
     ];
-    let mut count = Count::new(settings, at(0));
+    let mut count = Count::new(settings, 2, at(0));
     for (t, live, silent, counted) in steps {
         assert_eq!(count.see(Fleet { live, silent }, at(t)), counted, "at {t}");
     }
--- a/site/src/lib.rs
+++ b/site/src/lib.rs
@@ -3,6 +3,7 @@
 
 use larchfall::time::Span;
 use larchfall_members::claim::LONGEST;
+use larchfall_members::count::Settings as Count;
 use larchfall_members::members::Settings as Members;
 use larchfall_rest::cursor::Window;
 use larchfall_rest::results::Caps;
@@ -29,6 +30,8 @@
     /// Batches a second that this front is meant to take, as others are told.
     pub serves: u32,
     pub settings: Members,
+    /// The module counts the fronts that live, by these bounds; none: those that the settings name.
+    pub count: Option<Count>,
 }
 
 /// The paged REST protocol for clients.
@@ -79,6 +82,14 @@
     remembered_ms: Spanned<u64>,
     #[serde(default = "most")]
     most: Spanned<usize>,
+    #[serde(default)]
+    shares: bool,
+    #[serde(default = "count_within_ms")]
+    count_within_ms: Spanned<u64>,
+    #[serde(default = "count_step_ms")]
+    count_step_ms: Spanned<u64>,
+    #[serde(default = "count_least")]
+    count_least: Spanned<usize>,
 }
 
 #[derive(Deserialize)]
@@ -126,6 +137,15 @@
 fn remembered_ms() -> Spanned<u64> {
     unsaid(60_000)
 }
+fn count_within_ms() -> Spanned<u64> {
+    unsaid(30_000)
+}
+fn count_step_ms() -> Spanned<u64> {
+    unsaid(2_000)
+}
+fn count_least() -> Spanned<usize> {
+    unsaid(1)
+}
 fn most() -> Spanned<usize> {
     unsaid(1_024)
 }
@@ -237,6 +257,11 @@
         networks: raw.networks.iter().map(network).collect::<Result<_, _>>()?,
         seeds: raw.seeds.iter().map(|seed| address(seed, "seeds")).collect::<Result<_, _>>()?,
     };
+    let count = Count {
+        within: time(&raw.count_within_ms, "count-within-ms", 100, 3_600_000)?,
+        step: time(&raw.count_step_ms, "count-step-ms", 10, 600_000)?,
+        least: table.number(&raw.count_least, "count-least", 1, 65_536)?,
+    };
     let listens = address(&raw.address, "address")?;
     let told = raw.told.as_ref().map(|told| address(told, "told")).transpose()?.unwrap_or(listens);
     if told.port() == 0 || told.ip().is_unspecified() {
@@ -249,6 +274,7 @@
         zone: raw.zone.map(|zone| name(&zone, "zone")).transpose()?.unwrap_or_default(),
         serves: raw.serves,
         settings,
+        count: raw.shares.then_some(count),
     })
 }
 
--- a/site/tests/site.rs
+++ b/site/tests/site.rs
@@ -27,6 +27,7 @@
     assert_eq!((fronts.told, fronts.settings.networks[0].1), (fronts.address, 8));
     assert!(parse(LEAST, &names()).unwrap().fronts.is_none());
     let least = parse(FRONTS, &names()).unwrap().fronts.unwrap();
+    assert!(least.count.is_none() && fronts.count.is_some_and(|c| c.least == 3));
     assert_eq!((least.settings.period, least.settings.most), (Span::from_millis(500), 1024));
 }
 
@@ -39,6 +40,8 @@
         (&fronts("dance = 1")[..], "line 7: unknown field `dance`"),
         (&fronts("period-ms = 10"), "line 7: fronts.period-ms: 10 ms is not within 50 to 60000"),
         (&fronts("answer-ms = 300"), "line 7: fronts.answer-ms: others that are asked"),
+        (&fronts("count-step-ms = 1"), "line 7: fronts.count-step-ms: 1 ms is not within"),
+        (&fronts("count-least = 0"), "line 7: fronts.count-least: 0 is not within"),
         (&fronts("most = 1"), "line 7: fronts.most: 1 is not within 2 to 65536"),
         (&fronts("told = \"0.0.0.0:7400\""), "fronts.address: others need an address"),
         (&FRONTS.replace("127.0.0.1:7400", "127.0.0.1:0"), "fronts.address: others need an address"),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -712,6 +712,13 @@
         }
     }
 
+    /// So many fronts count from now on, where somebody knows: by them the even shares of engines are divided.
+    pub fn count(&mut self, fronts: usize) {
+        self.fleet.fronts = fronts.max(1);
+        let share = 1.0 / self.fleet.fronts as f64;
+        self.engines.values_mut().for_each(|x| x.budgets.share = share);
+    }
+
     /// The front ends then: what it holds is to have its final answer before.
     pub fn end_by(&mut self, at: At) {
         self.batches.values_mut().for_each(|h| h.batch.time_limit = h.batch.time_limit.min(at));
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -683,6 +683,22 @@
     }
 }
 
+#[test]
+fn a_cold_engines_allowance_is_divided_by_the_fronts_that_count() {
+    // (fronts named, fronts counted, whether a batch that is within a third of the allowance goes more than by luck)
+    for (named, counted, goes) in
+        [(3, None, true), (3, Some(3), true), (300, Some(3), true), (3, Some(300), false)]
+    {
+        let mut rig = Rig::default();
+        rig.fleet.fronts = named;
+        let mut front = rig.start(0);
+        counted.into_iter().for_each(|n| front.policy.count(n));
+        front.policy.engine(ms(0), 0, Engine { started: Some(ms(0)), ..engine() });
+        let sent = (0..4).filter(|n| sent_to(front.take(n * 3_000, batch(LOOK_UP)).1).is_some()).count();
+        assert_eq!(sent == 4, goes, "{named} named, {counted:?} counted: {sent}");
+    }
+}
+
 #[test]
 fn probes_cost_a_part_of_a_batch_at_most() {
     // (what a probe costs, probes at least and at most after 4,000 batches of one of many fronts)
