The simulated fleet of members moves into the rig, beside the net between processes

Change: larchfall-rig has net (between processes) and fleet (in one process); members' tests and the measurement use it.

--- a/front/tests/front/fronts.rs
+++ b/front/tests/front/fronts.rs
@@ -1,7 +1,7 @@
 //! Several fronts as programs of their own, and a net between them that breaks. Each failure names the seed.
 
 use crate::common::{Front, config, wait_for};
-use larchfall_rig::{Link, Net, SOUND};
+use larchfall_rig::net::{Link, Net, SOUND};
 use larchfall_toy::board::Board;
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
--- a/members/tests/fleet.rs
+++ b/members/tests/fleet.rs
@@ -1,11 +1,9 @@
 //! Fleets of members in one process, by seed: joins, deaths, stalls, splits, loss. Each failure names its seed.
 
-mod sim;
-
 use larchfall::time::At;
 use larchfall_members::claim::{About, Standing};
 use larchfall_members::members::{Members, Refused, Settings};
-use sim::{Fleet, ms, name};
+use larchfall_rig::fleet::{self as sim, Fleet, ms, name};
 
 const SEEDS: std::ops::Range<u64> = 1..6;
 
--- a/members/examples/simulate.rs
+++ b/rig/examples/simulate.rs
@@ -1,14 +1,10 @@
 //! How fast deaths are found, how often a living front is buried, and what that costs, by size of the fleet and loss:
-//! cargo run --release -p larchfall-members --example simulate [SIZE ...]
-
-#[path = "../tests/sim/mod.rs"]
-#[allow(dead_code)]
-mod sim;
+//! cargo run --release -p larchfall-rig --example simulate [SIZE ...]
 
 use hdrhistogram::Histogram;
 use larchfall::time::Span;
 use larchfall_members::claim::Standing;
-use sim::{Fleet, ms, name};
+use larchfall_rig::fleet::{Fleet, Sight, ms, name};
 
 const KILLS: usize = 8;
 const LOSSES: [f64; 3] = [0.0, 0.1, 0.3];
@@ -54,7 +50,7 @@
         };
         let all = fleet.until(ms(300_000), know).expect("a death is known in the end");
         let first = |to: Standing| {
-            let of_it = |s: &&sim::Sight| s.at >= from && s.change.name == name(of) && s.change.to == to;
+            let of_it = |s: &&Sight| s.at >= from && s.change.name == name(of) && s.change.to == to;
             fleet.sights.iter().find(of_it).map(|s| s.at.since(from))
         };
         [first(Standing::Suspected), first(Standing::Dead), Some(all)]
