--- a/adapter/src/front.rs
+++ b/adapter/src/front.rs
@@ -27,7 +27,7 @@
     slots: Vec<Slot>,
     spare: Vec<usize>,
     by_id: HashMap<u32, usize>,
-    engines: Vec<[u8; 6]>,
+    engines: Vec<([u8; 6], Engine)>,
     engine_ix: HashMap<[u8; 6], usize>,
     due: BTreeSet<(At, usize)>,
     timer_at: Option<At>,
@@ -36,9 +36,8 @@
 impl Front {
     pub fn start(who: u32, seed: u64, boot: &[u8], now: At, reply: &mut Reply) -> Result<Front, String> {
         let s = settings::read(boot)?;
-        let (groups, customers) = (s.groups.len(), s.customers.len());
-        let policy =
-            Policy::new(seed, s.fleet, s.groups, s.customers, s.caps, (s.cold, s.key_quiet), s.ration);
+        let (groups, customers) = (s.given.groups.len(), s.given.customers.len());
+        let policy = Policy::new(seed, s.given);
         if s.must_ask {
             reply.watch(who);
         }
@@ -77,16 +76,16 @@
             let next = self.engines.len();
             let e = *self.engine_ix.entry(*address).or_insert(next);
             if e == next {
-                self.engines.push(*address);
+                self.engines.push((*address, *engine));
                 named.push(false);
             }
             named[e] = true;
+            self.engines[e].1 = *engine;
             self.policy.engine(now, e, *engine);
         }
-        if whole {
-            for e in (0..named.len()).filter(|e| !named[*e]) {
-                self.policy.engine_left(now, e);
-            }
+        // A whole list drops what it does not name.
+        for (e, (_, engine)) in self.engines.iter().enumerate().filter(|(e, _)| whole && !named[*e]) {
+            self.policy.engine(now, e, Engine { state: EngineState::Gone, ..*engine });
         }
     }
 
@@ -151,7 +150,7 @@
         if tag == TICK_TAG {
             self.policy.tick(now);
             for e in self.policy.probes() {
-                reply.ping(self.who, self.engines[e]);
+                reply.ping(self.who, self.engines[e].0);
             }
             self.next_tick(now, reply);
             return;
@@ -179,7 +178,7 @@
                     self.slots[b].out += 1;
                     reply.resources(who, id, d.memory_mb.unwrap_or(0.0) as f32, d.priority);
                     let allow = d.time_out.micros().clamp(1, u64::from(i32::MAX as u32)) as u32;
-                    reply.call_out(who, id, self.engines[d.engine], allow);
+                    reply.call_out(who, id, self.engines[d.engine].0, allow);
                 }
                 Place::NotYet => break,
                 Place::PushBack(wait) => {
--- /dev/null
+++ b/duty/tests/fleet.rs
@@ -0,0 +1,197 @@
+//! Whole fleets of duties in one process, by seed: what is held, by whom, and how long nobody holds it.
+
+use larchfall::time::Span;
+use larchfall_duty::duties::Why;
+use larchfall_rig::duties::{DiskDoes, Fleet, ms, name, settings};
+use nanorand::Rng;
+
+const BOUND: Span = Span::from_millis(12_000);
+
+fn held(n: usize, electors: usize, duties: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::start(n, settings(electors, duties, true), seed);
+    assert!(fleet.until(BOUND, Fleet::all_held).is_some(), "seed {seed}: nobody held them at first");
+    fleet
+}
+
+fn sound(fleet: &Fleet, seed: u64) {
+    assert_eq!(fleet.wrong, [], "seed {seed}");
+}
+
+/// The holder dies, stands still, is cut off (both ways, or from the electors only), or goes: another has it within a
+/// lease, the wait for its turn and some rounds, and goes on alone.
+#[test]
+fn a_holder_that_falls_out_in_any_way_is_followed_by_one_other() {
+    type Fault = (&'static str, fn(&mut Fleet, usize), Span);
+    let faults: [Fault; 6] = [
+        ("killed", |f, i| f.kill(i), ms(5_500)),
+        ("stopped", |f, i| f.stop(i, ms(20_000)), ms(5_500)),
+        ("cut off", |f, i| f.link = Box::new(move |a, b| (a == i) == (b == i)), ms(5_500)),
+        ("hears nothing", |f, i| f.link = Box::new(move |_, b| b != i), ms(6_500)),
+        ("is not heard", |f, i| f.link = Box::new(move |a, _| a != i), ms(5_500)),
+        ("leaves", |f, i| f.leave(i), ms(200)),
+    ];
+    for (what, fault, within) in faults {
+        for seed in 0..12 {
+            let mut fleet = held(7, 5, 1, seed);
+            let first = fleet.holders("duty:000")[0];
+            fleet.run(ms(100 * seed));
+            fault(&mut fleet, first);
+            let other = |f: &Fleet| matches!(f.holders("duty:000")[..], [i] if i != first);
+            let took = fleet.until(within, other);
+            assert!(took.is_some(), "seed {seed}: {what}, no other within {within:?}");
+            // All is well again, and the first is no second holder when it is back.
+            fleet.link = Box::new(|_, _| true);
+            fleet.run(ms(30_000));
+            sound(&fleet, seed);
+            assert!(fleet.all_held(), "seed {seed}: {what}");
+        }
+    }
+}
+
+/// (electors, of them out of reach, whether somebody may hold it)
+#[test]
+fn a_majority_of_electors_is_needed_and_is_enough() {
+    for (electors, out, may) in [(3, 1, true), (3, 2, false), (5, 2, true), (5, 3, false), (7, 3, true)] {
+        let mut fleet = held(electors + 3, electors, 2, 3);
+        fleet.link = Box::new(move |a, b| (a < out) == (b < out));
+        fleet.run(ms(12_000));
+        let there = |f: &Fleet| f.settings.duties.iter().all(|d| f.holders(d).iter().any(|i| *i >= out));
+        assert_eq!(there(&fleet), may, "{out} of {electors} away");
+        let minority = fleet.settings.duties.iter().any(|d| fleet.holders(d).iter().any(|i| *i < out));
+        assert_eq!(minority, out * 2 > electors, "{out} of {electors} away");
+        fleet.link = Box::new(|_, _| true);
+        assert!(fleet.until(BOUND, Fleet::all_held).is_some(), "{out} of {electors}: not healed");
+        sound(&fleet, 3);
+    }
+}
+
+/// All electors killed at once and started in turn; one that starts anew each second and is never heard; one whose clock
+/// runs five in a hundred fast, or slow.
+#[test]
+fn electors_that_start_anew_or_whose_clock_is_off_make_no_second_holder() {
+    for seed in 0..6 {
+        let mut fleet = held(6, 3, 3, seed);
+        (0..3).for_each(|i| fleet.kill(i));
+        for i in 0..3 {
+            fleet.run(ms(700));
+            fleet.restart(i);
+        }
+        assert!(fleet.until(ms(16_000), Fleet::all_held).is_some(), "seed {seed}");
+        for _ in 0..20 {
+            fleet.run(ms(1_000));
+            fleet.restart(1);
+        }
+        assert!(fleet.all_held(), "seed {seed}: the others are a majority");
+        assert!(fleet.settings.duties.iter().all(|d| fleet.holders(d) != [1]), "seed {seed}: it never waits");
+        sound(&fleet, seed);
+    }
+    for (rate, seed) in [(1.05, 1), (0.95, 2)] {
+        let mut fleet = Fleet::start(5, settings(3, 2, false), seed);
+        fleet.nodes[0].rate = rate;
+        fleet.restart(0);
+        for turn in 0..20 {
+            fleet.run(ms(4_000));
+            fleet.stop(turn % 5, ms(3_500));
+        }
+        sound(&fleet, seed);
+    }
+}
+
+/// A disk that fails grants nothing new and keeps what runs; one that lies, or that comes back with an older record, is
+/// made good by the clock; one that is slow delays what is new and nothing else.
+#[test]
+fn disks_that_fail_lie_or_are_slow() {
+    for (does, takes, held_again) in [
+        (DiskDoes::Fails, ms(2), false),
+        (DiskDoes::Lies, ms(2), true),
+        (DiskDoes::Keeps, ms(300), true),
+        (DiskDoes::Keeps, ms(3_100), false),
+    ] {
+        let mut fleet = held(6, 3, 2, 5);
+        for node in &mut fleet.nodes {
+            (node.disk, node.disk_takes) = (does, takes);
+        }
+        fleet.run(ms(10_000));
+        assert!(fleet.all_held(), "{does:?}: renewals need no disk");
+        let first = fleet.holders("duty:000")[0];
+        fleet.stop(first, ms(8_000));
+        let others = |f: &Fleet| f.holders("duty:000").iter().any(|i| *i != first);
+        assert_eq!(fleet.until(ms(7_500), others).is_some(), held_again, "{does:?}, {takes:?}");
+        // Tokens grow although nobody kept them.
+        for i in 0..3 {
+            fleet.kill(i);
+            fleet.restart(i);
+            fleet.nodes[i].disk_takes = ms(2);
+            fleet.nodes[i].disk = DiskDoes::Keeps;
+        }
+        assert!(fleet.until(ms(20_000), Fleet::all_held).is_some(), "{does:?}");
+        sound(&fleet, 5);
+    }
+}
+
+/// A hundred duties over 24 fronts of which a third dies and comes back; few move beside those that had to.
+#[test]
+fn a_hundred_duties_are_spread_and_few_move_when_fronts_come_and_go() {
+    let mut fleet = Fleet::start(24, settings(5, 100, true), 9);
+    fleet.acts = ms(200);
+    fleet.run(ms(40_000));
+    let by = |f: &Fleet| f.settings.duties.iter().map(|d| f.holders(d)[0]).collect::<Vec<_>>();
+    let before = by(&fleet);
+    let most = (0..24).map(|i| before.iter().filter(|h| **h == i).count()).max().unwrap_or_default();
+    assert!(most <= 14, "one front holds {most} of a hundred");
+    let settled: usize = fleet.given_up.values().sum();
+    fleet.run(ms(20_000));
+    assert_eq!(fleet.given_up.values().sum::<usize>(), settled, "they swing");
+    let gone: Vec<usize> = (16..24).collect();
+    gone.iter().for_each(|i| fleet.kill(*i));
+    assert!(fleet.until(ms(9_000), Fleet::all_held).is_some(), "not all found again");
+    let after = by(&fleet);
+    let moved = before.iter().zip(&after).filter(|(b, a)| b != a && !gone.contains(b)).count();
+    assert_eq!(moved, 0, "moved without need");
+    gone.iter().for_each(|i| fleet.restart(*i));
+    fleet.run(ms(30_000));
+    sound(&fleet, 9);
+    assert!(fleet.all_held());
+    assert!(!fleet.given_up.contains_key(&Why::RanOut), "{:?}", fleet.given_up);
+}
+
+/// Everything at once, drawn by seed.
+#[test]
+fn whatever_comes_no_two_hold_one_duty_and_no_action_is_taken_out_of_order() {
+    for seed in 100..124 {
+        let n = 5 + seed as usize % 6;
+        let mut fleet = Fleet::start(n, settings(if n > 7 { 5 } else { 3 }, 3, seed % 2 == 0), seed);
+        for i in 0..n {
+            fleet.nodes[i].rate = 0.97 + 0.06 * fleet.chance().generate::<f64>();
+            fleet.restart(i);
+        }
+        for _ in 0..60 {
+            let span = ms(fleet.chance().generate_range(50..2_500));
+            fleet.run(span);
+            let (i, j) = (fleet.chance().generate_range(0..n), fleet.chance().generate_range(0..n));
+            match fleet.chance().generate_range(0..10_u32) {
+                0 => fleet.kill(i),
+                1 | 2 => fleet.restart(i),
+                3 => fleet.stop(i, span * 3.0),
+                4 => fleet.link = Box::new(move |a, b| (a == i) == (b == i) || (a == j) == (b == j)),
+                5 => fleet.link = Box::new(move |a, b| a % 2 == b % 2 || (a, b) == (i, j)),
+                6 => (fleet.loss, fleet.slowest) = (0.4, ms(2_000)),
+                7 => fleet.leave(i),
+                8 => fleet.nodes[i].disk = [DiskDoes::Fails, DiskDoes::Lies, DiskDoes::Keeps][j % 3],
+                _ => {
+                    fleet.link = Box::new(|_, _| true);
+                    (fleet.loss, fleet.slowest) = (0.0, ms(5));
+                }
+            }
+        }
+        sound(&fleet, seed);
+        fleet.link = Box::new(|_, _| true);
+        (fleet.loss, fleet.slowest) = (0.0, ms(5));
+        for i in 0..n {
+            fleet.nodes[i].disk = DiskDoes::Keeps;
+            fleet.restart(i);
+        }
+        assert!(fleet.until(ms(20_000), Fleet::all_held).is_some(), "seed {seed}: not healed: {}", name(0));
+        sound(&fleet, seed);
+    }
+}
--- a/front/src/batch.rs
+++ b/front/src/batch.rs
@@ -45,6 +45,9 @@
                     seen = trip.settle();
                 }
                 state.counters.outcome(task.group, outcome);
+                if let Some(trip) = &trip {
+                    state.facade.saw(to.engine, trip.home, outcome);
+                }
                 let returned = outcome == Outcome::Returned;
                 if returned {
                     end(state, task, Final::Returned);
--- a/front/src/board.rs
+++ b/front/src/board.rs
@@ -1,7 +1,7 @@
 //! Follows the notice board: connected for as long as it speaks, connected again when it does not.
 
 use crate::state::State;
-use crate::state::clock::wait;
+use crate::state::clock::{sleep, wait};
 use crate::wire::board::{self, Event, Frame};
 use larchfall::time::Span;
 use may::net::TcpStream;
@@ -10,6 +10,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// An empty frame comes each second: after this much silence nobody is there.
 const SILENCE: Span = Span::from_millis(2500);
@@ -27,7 +28,7 @@
         let reason = listen(state, address, era, &mut frames);
         info!(state.log, "notice board connection ended"; "reason" => reason, "frames" => frames);
         pause = if frames > 0 { FIRST_PAUSE } else { (pause * 2.0).min(LONGEST_PAUSE) };
-        may::coroutine::sleep(wait(pause * (0.5 + 0.5 * chance.generate::<f64>())));
+        sleep(pause * (0.5 + 0.5 * chance.generate::<f64>()));
     }
 }
 
@@ -54,6 +55,7 @@
             match board::decode(&input) {
                 Ok(Some((frame, used))) => {
                     *frames += 1;
+                    state.board_heard.store(state.clock.now().micros(), Ordering::Relaxed);
                     if let Frame::News(event) = frame {
                         take(state, &event);
                     }
--- a/front/src/engines/platform.rs
+++ b/front/src/engines/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::engines::link::{Fault, Link, NoLink};
 use crate::state::State;
-use crate::state::clock::wait;
+use crate::state::clock::{sleep, wait};
 use crate::state::engines::Home;
 use crate::task::{Ended, Task};
 use crate::wire::http::{self, Reply, Start};
@@ -59,7 +59,7 @@
     b: usize,
     number: u8,
     to: Dispatch,
-    home: Home,
+    pub home: Home,
     pub sent: At,
     /// Whether this dispatch still has its seat.
     seated: Cell<bool>,
@@ -120,7 +120,7 @@
         };
         let deaf = self.state.heart.deaf_for(self.state.clock.now());
         if deaf > Span::ZERO {
-            may::coroutine::sleep(wait(deaf));
+            sleep(deaf);
         }
         // Its client left while it waited for this connection, or the list moved its engine: another process may
         // have the address, of another kind, cold, or with nothing to do with the one that was picked.
@@ -178,7 +178,7 @@
                     link = self.keep(link, reply.closes);
                     if reply.note.is_none() && self.state.clock.now().since(began) < PAUSE {
                         // Against an engine that has no news and does not hold the call back.
-                        may::coroutine::sleep(wait(PAUSE));
+                        sleep(PAUSE);
                     }
                 }
                 Ok(reply) if reply.status == 200 => return self.collect(link, reply),
@@ -205,7 +205,7 @@
                     faults += 1;
                     // A connection that was cut is asked after at once, and only then with rests between.
                     if pause > Span::ZERO && faults > 1 {
-                        may::coroutine::sleep(wait(pause));
+                        sleep(pause);
                     }
                 }
             }
@@ -290,7 +290,7 @@
     /// Fetches no more than the reader has room for. The engine is asked meanwhile, or it would forget the result.
     fn wait_for_reader(&self, link: &mut Option<Link>, report: Report) -> Option<Ended> {
         while !self.task.reader.has_room() {
-            may::coroutine::sleep(wait(PAUSE));
+            sleep(PAUSE);
             let outcome = match self.look() {
                 Look::GoOn => None,
                 Look::CallOff => Some(Outcome::CalledOff),
@@ -390,7 +390,7 @@
             if now >= until {
                 return self.end(Last::Silent, outcome);
             }
-            may::coroutine::sleep(wait(PAUSE));
+            sleep(PAUSE);
         }
     }
 
@@ -459,10 +459,11 @@
 }
 
 /// Asks an engine for its load report; dispatches come first.
-pub fn probe(state: &State, e: usize) {
-    let Some(home) = state.facade.home(e).filter(|_| state.pool.take_seat(0, Duration::ZERO)) else { return };
+pub fn probe(state: &State, e: usize) -> Option<Report> {
+    let home = state.facade.home(e).filter(|_| state.pool.take_seat(0, Duration::ZERO))?;
     state.counters.rest(|c| c.probes += 1);
     let until = state.clock.now() + state.connect_within;
+    let mut told = None;
     if let Ok(mut link) = link(state, e, home, until)
         && let Ok(reply) = link.call(&http::stats(home.address), &state.clock, until)
     {
@@ -470,6 +471,8 @@
             state.pool.keep(e, link, state.clock.now());
         }
         state.facade.probed(e, home, reply.report);
+        told = Some(reply.report);
     }
     state.pool.leave_seat();
+    told
 }
--- /dev/null
+++ b/front/src/fronts/duties.rs
@@ -0,0 +1,579 @@
+//! Duties on this front: what the package decides, brought to the socket, the disk, the operator's programs and the log.
+
+use super::Fronts;
+use super::programs::Programs;
+use crate::engines::platform;
+use crate::run::parts::{self, Parts, boot_time};
+use crate::state::{State, lock};
+use larchfall::interface::{ColdRule, Report, ServiceGroup};
+use larchfall::time::{At, Span};
+use larchfall_duty::duties::{Change, Duties, Out, Settings, View, What};
+use larchfall_duty::elector::Bounds;
+use larchfall_duty::fitness::{Fitness, Lines, Sight};
+use larchfall_duty::permit::{Permit, Stamped};
+use larchfall_duty::probing::{Probe, Reading, duty, duty_of, keeper};
+use larchfall_duty::record::{Record, find};
+use larchfall_duty::wire::{Letter, Matter, Unreadable, Who, pages};
+use larchfall_members::members::Member;
+use larchfall_shares::Terms;
+use larchfall_shares::capacity::Capacity;
+use larchfall_shares::demand::{Demand, Wanted};
+use larchfall_shares::keeper::Fairness;
+use larchfall_shares::shares::{self, Asking, Shares};
+use larchfall_site::{Duties as Site, Keepers, Kinds};
+use slog::{info, warn};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex};
+
+/// What readings take of a datagram.
+const READINGS: usize = 1000;
+/// Of more capacities than this fronts have their own parts only.
+const MOST_SHARED: usize = 4096;
+const IDLE: Span = Span::from_millis(1000);
+/// While a program is to end its end is looked for this often.
+const SOON: Span = Span::from_millis(10);
+
+#[derive(Default)]
+struct Counters {
+    heard: AtomicU64,
+    sent: AtomicU64,
+    unknown: AtomicU64,
+    spoilt: AtomicU64,
+    records: AtomicU64,
+    records_failed: AtomicU64,
+    readings: AtomicU64,
+    shares: AtomicU64,
+}
+
+/// What of the settings shares are worked out from.
+pub struct Shared {
+    pub fronts: usize,
+    pub cold: ColdRule,
+    pub groups: Vec<ServiceGroup>,
+    pub customers: Vec<Capacity>,
+    /// Which kinds are handed out, by the operator's file.
+    pub kinds: Kinds,
+}
+
+impl Shared {
+    /// How much this front wants of each capacity that is handed out.
+    fn wanted(&self, state: &State, demand: &Demand) -> Vec<Wanted> {
+        let mut wanted = Vec::new();
+        for (id, engine, is_cold) in state.facade.ready(&self.cold) {
+            let weight = demand.of_engine(&engine, &self.groups);
+            wanted.extend((self.kinds.cold && is_cold).then_some((Capacity::Cold(id), weight)));
+            wanted.extend(self.kinds.threads.then_some((Capacity::Threads(id), weight)));
+        }
+        let customers = self.customers.iter().enumerate().filter(|_| self.kinds.customers);
+        wanted.extend(customers.map(|(c, what)| (*what, demand.of_customer(c))));
+        wanted
+    }
+}
+
+pub struct Duty {
+    heart: Mutex<Duties>,
+    me: Who,
+    cluster: String,
+    parts: Parts,
+    lines: Mutex<Lines>,
+    fitness: Mutex<Fitness>,
+    records: Option<SyncSender<Record>>,
+    programs: Programs,
+    /// What is handed out by keepers, if anything is.
+    shares: Option<Mutex<Shares>>,
+    shared: Shared,
+    /// Of customers, as the settings list them.
+    names: Vec<String>,
+    woke: Mutex<At>,
+    /// Something was held or is ending since then.
+    soon: AtomicBool,
+    counters: Counters,
+}
+
+fn one(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+impl Duty {
+    /// Reads what an elector remembers, before anything is asked or granted.
+    pub fn open(
+        state: &State,
+        site: Site,
+        me: Who,
+        seed: u64,
+        parts: Parts,
+        shared: Shared,
+    ) -> io::Result<(Arc<Duty>, Option<Keeper>)> {
+        let now = (parts.clock)();
+        let is_elector = site.settings.electors.has(&me.name);
+        // One that is no elector now may become one, when the file is read again.
+        let mut disk = site.record.as_ref().map(|folder| (parts.disk)(folder));
+        let found = disk.as_mut().map(|disk| find(disk.as_mut())).unwrap_or_default();
+        for (file, why) in &found.damaged {
+            warn!(state.log, "duties: {} is damaged", file; "why" => why);
+        }
+        if is_elector {
+            let version = found.record.as_ref().map_or(0, |r| r.version);
+            info!(state.log, "duties: elector"; "record" => version, "remembers" => disk.is_some());
+        }
+        let settings = site.settings;
+        let shared = Shared { kinds: site.keepers.map_or(Kinds::default(), |k| k.kinds), ..shared };
+        let shares = site.keepers.map(|Keepers { keepers, length, .. }| {
+            let (fronts, margin) = (shared.fronts, settings.terms.margin);
+            let strict = Terms { fronts, length, margin, window: shared.cold.window, strict: true };
+            let soft = Terms { window: Span::ZERO, strict: false, ..strict };
+            let shares = Shares::new(shares::Settings { strict, soft, keepers, most: MOST_SHARED }, now);
+            if shared.kinds.cold {
+                state.facade.careful(shares.careful());
+            }
+            Mutex::new(shares)
+        });
+        let cluster = settings.cluster.clone();
+        let heart =
+            Duties::new(me.clone(), settings, found.record.as_ref(), (parts.wall)().micros(), seed, now);
+        let (records, keeper) = match disk {
+            Some(disk) => {
+                let (records, taken) = sync_channel(1);
+                (Some(records), Some(Keeper { disk, taken }))
+            }
+            None => (None, None),
+        };
+        let duty = Duty {
+            heart: Mutex::new(heart),
+            me,
+            cluster,
+            parts,
+            lines: Mutex::new(site.lines),
+            fitness: Mutex::default(),
+            records,
+            programs: Programs::start(site.programs)?,
+            shares,
+            shared,
+            names: state.names.customers.clone(),
+            woke: Mutex::new(now),
+            soon: AtomicBool::new(false),
+            counters: Counters::default(),
+        };
+        Ok((Arc::new(duty), keeper))
+    }
+
+    fn now(&self) -> At {
+        (self.parts.clock)()
+    }
+
+    /// From a file that was read again; refused whole where it can't be made safe.
+    pub fn set(&self, state: &State, fronts: &Fronts, site: Site) {
+        // The disk was opened at the start, or not.
+        let keeps = self.records.is_some();
+        let bounds = Bounds { keeps, ..site.settings.bounds };
+        let settings = Settings { bounds, ..site.settings };
+        let set = lock(&self.heart).set(settings, (self.parts.wall)().micros(), self.now());
+        match set {
+            Ok(out) => {
+                self.programs.set(site.programs);
+                *lock(&self.lines) = site.lines;
+                self.take(state, fronts, out);
+            }
+            Err(why) => warn!(state.log, "duties: not taken: {}", why),
+        }
+    }
+
+    pub fn due_in(&self) -> Span {
+        let now = self.now();
+        let shares = self.shares.as_ref().map_or(IDLE, |shares| lock(shares).due().since(now));
+        let due = lock(&self.heart).due().since(now).min(shares);
+        // Programs end by themselves, and what was just held is to be acted on: both are looked for in between.
+        let looks = (*lock(&self.woke) + SOON).since(now);
+        if self.soon.load(Ordering::Relaxed) || self.programs.any_runs() { due.min(looks) } else { due }
+    }
+
+    /// Hands all on.
+    pub fn leave(&self, state: &State, fronts: &Fronts) {
+        let out = lock(&self.heart).leave(self.now());
+        self.take(state, fronts, out);
+    }
+
+    /// Nothing is held any more, nor runs.
+    pub fn is_done(&self) -> bool {
+        !self.programs.any_runs() && !lock(&self.heart).holds_any()
+    }
+
+    pub fn name_taken(&self, state: &State, fronts: &Fronts) {
+        let out = lock(&self.heart).name_taken(self.now());
+        self.take(state, fronts, out);
+    }
+
+    pub fn wake(&self, state: &Arc<State>, fronts: &Arc<Fronts>) {
+        let (now, state_now) = (self.now(), state.clock.now());
+        *lock(&self.woke) = now;
+        self.soon.store(false, Ordering::Relaxed);
+        let (live, health): (BTreeMap<String, At>, u32) = {
+            let members = lock(&fronts.members);
+            let since = |m: &Member| now - state_now.since(m.since);
+            (members.live().map(|(name, m)| (name.clone(), since(m))).collect(), members.health().score())
+        };
+        let (known, ready) = state.facade.listed();
+        let silence = state_now.since(At::from_micros(state.board_heard.load(Ordering::Relaxed)));
+        let sight = Sight { listed: known, ready: ready.len(), silence, health };
+        let lines = *lock(&self.lines);
+        let fit = lock(&self.fitness).is_fit(lines, sight);
+        let out = {
+            let mut heart = lock(&self.heart);
+            heart.live(live);
+            heart.fit(fit);
+            heart.wake(now)
+        };
+        self.take(state, fronts, out);
+        self.look_after_programs(state, fronts);
+        self.probe(state, fronts, &ready);
+        self.share(state, fronts);
+    }
+
+    /// Asks the keepers for this front's shares, and tells the module what it may use.
+    fn share(&self, state: &State, fronts: &Fronts) {
+        let Some(shares) = &self.shares else { return };
+        let now = self.now();
+        let (asking, (most, length)) = {
+            let mut shares = lock(shares);
+            let (keepers, terms) = (shares.keepers(), shares.terms());
+            let wanted = |demand: &Demand| self.shared.wanted(state, demand);
+            let keeper_of = |capacity| duty_of(capacity, keepers);
+            (shares.asks(|| state.facade.came(), wanted, keeper_of, now), terms)
+        };
+        self.use_shares(state, shares, now);
+        for Asking { keeper: number, round, wants } in asking {
+            let name = keeper(number);
+            let holder = lock(&self.heart).holder(&name, now).map(str::to_owned);
+            let Some(holder) = holder else { continue };
+            for wants in pages(wants, READINGS) {
+                let (fronts_most, length_us) = (most as u32, length.micros());
+                let duty = name.clone();
+                let matter = Matter::AskShares { duty, round, fronts: fronts_most, length_us, wants };
+                if holder == self.me.name {
+                    self.hear_of_shares(state, fronts, &self.me, &matter);
+                } else {
+                    self.send(fronts, &holder, matter);
+                }
+            }
+        }
+    }
+
+    fn use_shares(&self, state: &State, shares: &Mutex<Shares>, now: At) {
+        let known = |(key, part, _)| Capacity::of(key).map(|what| (what, part));
+        let parts = lock(shares).parts(now).filter_map(known).collect();
+        state.facade.share(&self.shared.customers, &parts);
+    }
+
+    fn hear_of_shares(&self, state: &State, fronts: &Fronts, from: &Who, matter: &Matter) {
+        let (Some(shares), now) = (&self.shares, self.now()) else { return };
+        match matter {
+            Matter::AskShares { duty, round, fronts: most, length_us, wants } => {
+                // Immediately before: nothing is handed out that the next keeper may not know to be over in time.
+                let heart = lock(&self.heart);
+                let Some(permit) = heart.permit(duty, now) else { return };
+                let parts = {
+                    let terms = (*most as usize, Span::from_micros(*length_us));
+                    lock(shares).answer(permit.token, (&from.name, terms), wants, now)
+                };
+                let stamped = permit.stamp(parts);
+                drop(heart);
+                for page in pages(stamped.action, READINGS) {
+                    let parts = Stamped { duty: stamped.duty.clone(), token: stamped.token, action: page };
+                    let matter = Matter::Shares { round: *round, parts };
+                    if from.name == self.me.name {
+                        self.hear_of_shares(state, fronts, from, &matter);
+                    } else {
+                        self.send(fronts, &from.name, matter);
+                    }
+                }
+            }
+            Matter::Shares { round, parts } => {
+                let taken = lock(shares).granted(*round, parts.token, &parts.action, now);
+                self.counters.shares.fetch_add(taken as u64, Ordering::Relaxed);
+                self.use_shares(state, shares, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn look_after_programs(&self, state: &State, fronts: &Fronts) {
+        for ended in self.programs.take_ended(self.now()) {
+            info!(state.log, "duties: program of {} ended", ended.duty; "token" => ended.token, "how" => ended.how);
+            let out = lock(&self.heart).stopped(&ended.duty, self.now());
+            self.take(state, fronts, out);
+        }
+        for duty in self.programs.duties() {
+            // Looked at immediately before: what is left is what the minder is told.
+            let (now, boot) = (self.now(), boot_time());
+            let held = lock(&self.heart).permit(&duty, now).map(|permit| (permit.token, permit.left(now)));
+            if let Some((token, left)) = held {
+                self.programs.may_run(&duty, token, boot + left, now);
+            }
+        }
+    }
+
+    /// The holder of a probing duty asks its engines, and tells all once the last has answered.
+    fn probe(&self, state: &Arc<State>, fronts: &Arc<Fronts>, ready: &[(usize, u32)]) {
+        let Some(probing) = &state.probing else { return };
+        let duties = {
+            let mut probing = lock(probing);
+            if !probing.begins(state.clock.now()) { 0 } else { probing.duties() }
+        };
+        for number in 0..duties {
+            let ours = ready.iter().filter(|(_, id)| duty_of(u64::from(*id), duties) == number);
+            let ours: Vec<(usize, u32)> = ours.copied().collect();
+            let left = Arc::new(AtomicUsize::new(ours.len()));
+            for (e, id) in ours {
+                let name = duty(number);
+                let heart = lock(&self.heart);
+                let Some(allowed) = heart.permit(&name, self.now()).map(|p| p.allow(Probe { engine: e }))
+                else {
+                    break;
+                };
+                drop(heart);
+                let (state, fronts, left) = (state.clone(), fronts.clone(), left.clone());
+                may::go!(move || {
+                    let report = platform::probe(&state, allowed.action().engine);
+                    if let (Some(report), Some(probing)) = (report, &state.probing) {
+                        lock(probing).read(reading(id, report), state.clock.now());
+                    }
+                    if left.fetch_sub(1, Ordering::Relaxed) == 1
+                        && let Some(duties) = &fronts.duties
+                    {
+                        duties.tell(&state, &fronts, number);
+                    }
+                });
+            }
+        }
+    }
+
+    /// What was read under a duty goes to all that live, with its token, while it still lasts.
+    fn tell(&self, state: &State, fronts: &Fronts, number: usize) {
+        let Some(probing) = &state.probing else { return };
+        let read = lock(probing).to_tell(number, state.clock.now());
+        let name = duty(number);
+        let stamp = |permit: Permit, page| permit.stamp(page);
+        for page in pages(read, READINGS) {
+            let stamped = lock(&self.heart).permit(&name, self.now()).map(|permit| stamp(permit, page));
+            let Some(stamped) = stamped else { return };
+            let others: Vec<String> = {
+                let members = lock(&fronts.members);
+                members.live().map(|(name, _)| name.clone()).filter(|name| *name != self.me.name).collect()
+            };
+            for to in others {
+                self.send(fronts, &to, Matter::Readings(stamped.clone()));
+            }
+        }
+    }
+
+    fn send(&self, fronts: &Fronts, to: &str, matter: Matter) {
+        let address = lock(&fronts.members).table().get(to).map(|m| m.about.address);
+        let Some(address) = address else { return one(&self.counters.unknown) };
+        let bytes = Letter::new(&self.cluster, &self.me, matter).seal();
+        if fronts.socket.inner().send_to(&bytes, address).is_ok() {
+            one(&self.counters.sent);
+        }
+    }
+
+    /// Sends, logs and carries out what came of a call. No lock is held here.
+    fn take(&self, state: &State, fronts: &Fronts, out: Out) {
+        for (to, matter) in out.letters {
+            self.send(fronts, &to, matter);
+        }
+        if let (Some(record), Some(records)) = (out.write, &self.records) {
+            // One is under way at a time, so there is room.
+            let _ = records.try_send(record);
+        }
+        self.soon.fetch_or(!out.changes.is_empty(), Ordering::Relaxed);
+        for Change { duty, what } in out.changes {
+            match what {
+                What::Holds { token } => info!(state.log, "duties: holds {}", duty; "token" => token),
+                What::Ends { token, why, to } => {
+                    info!(state.log, "duties: ends {}", duty; "token" => token, "why" => format!("{why:?}"),
+                        "to" => to.unwrap_or_default());
+                    self.programs.end(&duty);
+                    if !self.programs.runs(&duty) {
+                        let out = lock(&self.heart).stopped(&duty, self.now());
+                        self.take(state, fronts, out);
+                    }
+                }
+                What::Lost { token, why } => {
+                    warn!(state.log, "duties: lost {}", duty; "token" => token, "why" => format!("{why:?}"));
+                    self.programs.end(&duty);
+                }
+                What::GivenBack { token, to } => {
+                    let to = to.unwrap_or_default();
+                    info!(state.log, "duties: gave back {}", duty; "token" => token, "to" => to);
+                }
+            }
+        }
+    }
+
+    /// A datagram of duties that came from this address.
+    pub fn hear(&self, state: &State, fronts: &Fronts, bytes: &[u8], from: SocketAddrV4) {
+        one(&self.counters.heard);
+        let letter = match Letter::open(bytes, &self.cluster) {
+            Ok(letter) => letter,
+            Err(Unreadable::Spoilt | Unreadable::Unsound | Unreadable::OtherCluster) => {
+                return one(&self.counters.spoilt);
+            }
+        };
+        // Who writes is one that membership knows, at the address that it knows it by. A process that was held for dead for
+        // a while goes on there under a later generation, and here under that of its start: it is the same one.
+        let known = lock(&fronts.members)
+            .table()
+            .get(&letter.from.name)
+            .is_some_and(|m| m.about.address == from && m.claim.generation >= letter.from.generation);
+        if !known {
+            return one(&self.counters.unknown);
+        }
+        match &letter.matter {
+            Matter::Readings(told) => return self.take_readings(state, told),
+            matter @ (Matter::AskShares { .. } | Matter::Shares { .. }) => {
+                return self.hear_of_shares(state, fronts, &letter.from, matter);
+            }
+            _ => {}
+        }
+        let out = lock(&self.heart).hear(&letter.from, &letter.matter, self.now());
+        self.take(state, fronts, out);
+    }
+
+    fn take_readings(&self, state: &State, told: &Stamped<Vec<Reading>>) {
+        let Some(probing) = &state.probing else { return };
+        let taken: Option<Vec<Reading>> = {
+            let mut probing = lock(probing);
+            let taken = probing.hear(told, state.clock.now());
+            taken.map(|readings| readings.into_iter().copied().collect())
+        };
+        match taken {
+            None => warn!(state.log, "duties: refused readings of {}", told.duty; "token" => told.token),
+            Some(readings) => {
+                for reading in readings {
+                    one(&self.counters.readings);
+                    let (in_hand, busy) = (reading.in_hand.map(f64::from), reading.busy.map(f64::from));
+                    state.facade.told(reading.engine, Report { in_hand, busy });
+                }
+            }
+        }
+    }
+
+    /// What became of a record.
+    fn kept(&self, state: &State, fronts: &Fronts, kept: io::Result<()>) {
+        one(&self.counters.records);
+        if let Err(e) = &kept {
+            one(&self.counters.records_failed);
+            warn!(state.log, "duties: record not kept: {}", e);
+        }
+        let out = lock(&self.heart).written(kept.is_ok(), self.now());
+        self.take(state, fronts, out);
+    }
+
+    /// By duty: its name, who holds it, its token, what is left in milliseconds, why and when it last ended here.
+    pub fn rows(&self) -> Vec<Vec<String>> {
+        let now = self.now();
+        let heart = lock(&self.heart);
+        let row = |view: View| {
+            let told = |k: &larchfall_duty::duties::Known| (k.holder.name.clone(), k.token, k.until);
+            let here = view.held.map(|(token, until)| (self.me.name.clone(), token, until));
+            let held = here.or(view.known.map(told));
+            let left = |until: At| until.since(now).micros() / 1000;
+            let (holder, token, left) =
+                held.map_or((String::new(), 0, 0), |(name, token, until)| (name, token, left(until)));
+            let last = view
+                .last
+                .map_or(String::new(), |(why, at)| format!("{why:?} {:.1} s ago", now.since(at).secs()));
+            vec![view.duty.to_owned(), holder, token.to_string(), left.to_string(), last]
+        };
+        heart.view(now).map(row).collect()
+    }
+
+    /// What a capacity is called in the log and by `larchfall shares`.
+    fn word(&self, key: u64) -> String {
+        match Capacity::of(key) {
+            Some(Capacity::Cold(id)) => format!("cold/{id:08x}"),
+            Some(Capacity::Threads(id)) => format!("threads/{id:08x}"),
+            Some(what) => {
+                let name = |at: usize| self.names.get(at).cloned().unwrap_or_default();
+                let known = self.shared.customers.iter().position(|other| *other == what);
+                format!("customer/{}", known.map_or(String::new(), name))
+            }
+            None => format!("{key}"),
+        }
+    }
+
+    /// By capacity: what it is called, this front's part, whether that was handed out; where it is kept here, how many
+    /// have a share, what may be in use, and how fair that is.
+    pub fn share_rows(&self) -> Vec<Vec<String>> {
+        let Some(shares) = &self.shares else { return Vec::new() };
+        let (now, shares) = (self.now(), lock(shares));
+        let kept: BTreeMap<u64, Fairness> = shares.kept(now).collect();
+        let row = |(key, part, has): (u64, f64, bool)| {
+            let handed = if has { "handed out" } else { "by itself" };
+            let mut row = vec![self.word(key), format!("{part:.4}"), handed.to_owned()];
+            let fair = kept.get(&key).map(|fair| {
+                let factor = fair.factor.map_or("none".to_owned(), |f| format!("{f:.2}"));
+                [fair.fronts.to_string(), format!("{:.4}", fair.in_use), format!("{:.4}", fair.jain), factor]
+            });
+            row.extend(fair.unwrap_or_default());
+            row
+        };
+        let mut rows: Vec<Vec<String>> = shares.parts(now).map(row).collect();
+        rows.sort();
+        rows
+    }
+
+    pub fn log(&self, state: &State) {
+        let c = &self.counters;
+        let n = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        let ids = state.facade.listed().1.into_iter().map(|(_, id)| u64::from(id));
+        let (refused, (age, unread)) = state.probing.as_ref().map_or((0, (Span::ZERO, 0)), |probing| {
+            let probing = lock(probing);
+            (probing.refused(), probing.ages(ids, state.clock.now()))
+        });
+        info!(state.log, "duties: counters"; "heard" => n(&c.heard), "sent" => n(&c.sent), "unknown" => n(&c.unknown),
+            "spoilt" => n(&c.spoilt), "records" => n(&c.records), "records_failed" => n(&c.records_failed),
+            "readings" => n(&c.readings), "refused" => refused, "shares" => n(&c.shares),
+            "readings_age_ms" => age.micros() / 1000, "unread" => unread);
+        if let Some(shares) = &self.shares {
+            let (now, shares) = (self.now(), lock(shares));
+            let (has, keeps) = (shares.parts(now).filter(|(.., has)| *has).count(), shares.kept(now).count());
+            let parts: Vec<String> =
+                shares.parts(now).map(|(key, part, _)| format!("{}:{part:.4}", self.word(key))).collect();
+            info!(state.log, "duties: shares"; "has" => has, "keeps" => keeps, "parts" => parts.join(" "));
+            for (key, fair) in shares.kept(now) {
+                info!(state.log, "duties: handed out"; "what" => self.word(key), "fronts" => fair.fronts,
+                    "in_use" => fair.in_use, "jain" => fair.jain, "factor" => fair.factor.unwrap_or(f64::INFINITY));
+            }
+        }
+        for row in self.rows() {
+            info!(state.log, "duties: duty"; "name" => &row[0], "holder" => &row[1], "token" => &row[2],
+                "left_ms" => &row[3], "last" => &row[4]);
+        }
+    }
+}
+
+fn reading(id: u32, report: Report) -> Reading {
+    let narrow = |n: Option<f64>| n.map(|n| n as f32);
+    Reading { engine: u64::from(id), age_us: 0, in_hand: narrow(report.in_hand), busy: narrow(report.busy) }
+}
+
+/// The thread that keeps records, before it runs.
+pub struct Keeper {
+    disk: Box<dyn larchfall_duty::record::Disk>,
+    taken: Receiver<Record>,
+}
+
+impl Keeper {
+    pub fn run(self, state: &Arc<State>, fronts: &Arc<Fronts>) -> io::Result<()> {
+        let (state, fronts) = (state.clone(), fronts.clone());
+        parts::keeper(self.disk, self.taken, move |kept| {
+            if let Some(duties) = &fronts.duties {
+                duties.kept(&state, &fronts, kept);
+            }
+        })
+    }
+}
--- a/front/src/fronts/mod.rs
+++ b/front/src/fronts/mod.rs
@@ -1,15 +1,24 @@
 //! The fronts among themselves, where the operator's file has a `[fronts]` table: one socket, one coroutine that hears
 //! and asks. No batch waits for it, and it waits for none.
 
+pub mod ask;
+pub mod duties;
+pub mod mind;
+pub mod programs;
+pub mod signals;
+
 use crate::state::State;
-use crate::state::clock::wait;
+use crate::state::clock::{sleep, wait};
+use crate::state::facade::Verdict;
 use crate::state::lock;
+use duties::Duty;
 use larchfall::time::{At, Span};
-use larchfall_members::claim::{About, Standing};
+use larchfall_members::claim::Standing;
 use larchfall_members::count::Count;
 use larchfall_members::members::{Members, Out, Refused, Settings};
 use larchfall_members::wire::{Letter, MOST_BYTES, Unreadable};
 use may::net::UdpSocket;
+use signals::Signals;
 use slog::{info, warn};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, SocketAddrV4};
@@ -45,32 +54,37 @@
     count: Option<Mutex<Count>>,
     socket: UdpSocket,
     cluster: String,
+    name: String,
     counters: Counters,
     over: AtomicBool,
+    /// What one front does at a time, where the file says so.
+    duties: Option<Arc<Duty>>,
+    /// What fronts saw of engines, where the file says so.
+    signals: Option<Signals>,
 }
 
 impl Fronts {
     /// Its generation is the time of its start, so that each process under its name is another than the one before.
     pub fn open(
-        name: &str,
         bind: SocketAddrV4,
-        about: About,
-        settings: Settings,
+        members: Members,
+        (cluster, name): (String, String),
         count: Option<Count>,
-        seed: u64,
-        now: At,
+        duties: Option<Arc<Duty>>,
+        signals: Option<Signals>,
     ) -> io::Result<Arc<Fronts>> {
         let socket = UdpSocket::bind(bind)?;
-        let cluster = settings.cluster.clone();
-        let members = Members::new(name, now.micros(), about, settings, seed, now);
         let (counters, over) = (Counters::default(), AtomicBool::new(false));
         Ok(Arc::new(Fronts {
             members: Mutex::new(members),
             count: count.map(Mutex::new),
             socket,
             cluster,
+            name,
             counters,
             over,
+            duties,
+            signals,
         }))
     }
 
@@ -78,14 +92,33 @@
         lock(&self.members).myself().about.address
     }
 
-    /// Seeds and periods from a file that was read again.
-    pub fn set(&self, settings: Settings) {
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Those that live, this front among them, and their zones.
+    pub fn living(&self) -> Vec<(String, String)> {
+        lock(&self.members).live().map(|(name, m)| (name.clone(), m.about.zone.clone())).collect()
+    }
+
+    /// Seeds, periods and duties from a file that was read again.
+    pub fn set(&self, state: &State, settings: Settings, duties: Option<larchfall_site::Duties>) {
         // Which fleet it belongs to changes with the next start only.
         lock(&self.members).set(Settings { cluster: self.cluster.clone(), ..settings });
+        match (&self.duties, duties) {
+            (Some(duties), Some(site)) => duties.set(state, self, site),
+            (Some(_), None) | (None, Some(_)) => {
+                warn!(state.log, "duties: a [duties] table comes and goes with the next start only");
+            }
+            (None, None) => {}
+        }
     }
 
     /// Says that it goes, before the listener ends.
     pub fn leave(&self, state: &State) {
+        if let Some(duties) = &self.duties {
+            duties.leave(state, self);
+        }
         let out = lock(&self.members).leave(state.clock.now());
         self.over.store(true, Ordering::Relaxed);
         self.take(state, out);
@@ -102,6 +135,12 @@
             let members = lock(&self.members);
             (members.table().clone(), members.health().score(), members.version())
         };
+        if let Some(duties) = &self.duties {
+            duties.log(state);
+        }
+        if let Some(signals) = &self.signals {
+            signals.log(state);
+        }
         info!(state.log, "fronts: table"; "known" => table.len(), "version" => version, "own_health" => health);
         for (name, member) in &table {
             let heard = member.heard.map_or(-1.0, |at| now.since(at).secs());
@@ -138,8 +177,67 @@
         }
     }
 
+    /// By front: its name, standing, generation, address, zone, since when it stands so and when it was heard, in seconds.
+    fn rows(&self, now: At) -> Vec<Vec<String>> {
+        let members = lock(&self.members);
+        let row = |(name, m): (&String, &larchfall_members::members::Member)| {
+            let heard = m.heard.map_or(String::new(), |at| format!("{:.1}", now.since(at).secs()));
+            let since = format!("{:.1}", now.since(m.since).secs());
+            let (generation, address) = (m.claim.generation.to_string(), m.about.address.to_string());
+            let standing = word(m.claim.standing).to_owned();
+            vec![name.clone(), standing, generation, address, m.about.zone.clone(), since, heard]
+        };
+        members.table().iter().map(row).collect()
+    }
+
+    /// By engine: its id, state, what this front makes of it, and what it and others saw there, where that is told.
+    fn engine_rows(&self, state: &State) -> Vec<Vec<String>> {
+        // Once for all engines: a fleet may be large.
+        let (now, living) = (state.clock.now(), self.living().into_iter().collect());
+        let word = |holds: bool, word: &str| if holds { word.to_owned() } else { String::new() };
+        let row = |x: Verdict| {
+            let verdict = if x.failing { "left out" } else { "sound" };
+            let mut row = vec![format!("{:08x}", x.process.id), format!("{:?}", x.state).to_lowercase()];
+            row.extend([verdict.to_owned(), word(x.used, "used"), word(x.congested, "congested")]);
+            row.extend(
+                self.signals.iter().flat_map(|signals| signals.row(&self.name, &living, x.process, now)),
+            );
+            row
+        };
+        let mut rows: Vec<_> = state.facade.verdicts().into_iter().map(row).collect();
+        rows.sort();
+        rows
+    }
+
+    /// Answers a question of this machine's own.
+    fn answer(&self, state: &State, bytes: &[u8], from: SocketAddrV4) {
+        let near = from.ip().is_loopback() || *from.ip() == *self.address().ip();
+        let Some(question) = ask::question(bytes, &self.cluster).filter(|_| near) else {
+            return one(&self.counters.strangers);
+        };
+        let rows = match question.what {
+            ask::What::Fronts => self.rows(state.clock.now()),
+            ask::What::Engines => self.engine_rows(state),
+            ask::What::Duties => self.duties.as_ref().map(|duties| duties.rows()).unwrap_or_default(),
+            ask::What::Shares => self.duties.as_ref().map(|duties| duties.share_rows()).unwrap_or_default(),
+        };
+        let _ = self.socket.inner().send_to(&ask::answer(&question, rows.into_iter()), from);
+    }
+
     fn hear(&self, state: &State, bytes: &[u8], from: SocketAddrV4) {
         one(&self.counters.heard);
+        if let Some(signals) =
+            self.signals.as_ref().filter(|_| bytes.first() == Some(&larchfall_signals::wire::VERSION))
+        {
+            return signals.hear(state, self, bytes, from);
+        }
+        match (bytes.first(), &self.duties) {
+            (Some(&larchfall_duty::wire::VERSION), Some(duties)) => {
+                return duties.hear(state, self, bytes, from);
+            }
+            (Some(&ask::VERSION), _) => return self.answer(state, bytes, from),
+            _ => {}
+        }
         let letter = match Letter::open(bytes, &self.cluster) {
             Ok(letter) => letter,
             Err(why) => {
@@ -159,6 +257,9 @@
                     state.log,
                     "fronts: another process has this name, and was started later: no member any more"
                 );
+                if let Some(duties) = &self.duties {
+                    duties.name_taken(state, self);
+                }
             }
         }
     }
@@ -174,11 +275,12 @@
 }
 
 /// Hears and asks until this front leaves.
-pub fn run(state: &State, fronts: &Fronts) {
+pub fn run(state: &Arc<State>, fronts: &Arc<Fronts>) {
     let mut bytes = [0; MOST_BYTES + 1];
     let (mut taken, mut window) = (0, state.clock.now());
     let mut counted = 0;
-    while !fronts.over.load(Ordering::Relaxed) {
+    let done = || fronts.duties.as_ref().is_none_or(|duties| duties.is_done());
+    while !fronts.over.load(Ordering::Relaxed) || !done() {
         let now = state.clock.now();
         let (due, out) = {
             let mut members = lock(&fronts.members);
@@ -189,15 +291,25 @@
             fronts.take(state, out);
             counted = fronts.count(state, now, counted);
         }
+        if let Some(duties) = fronts.duties.as_ref().filter(|duties| duties.due_in() == Span::ZERO) {
+            duties.wake(state, fronts);
+        }
+        if let Some(signals) = &fronts.signals {
+            signals.wake(state, fronts);
+        }
         if now.since(window) >= EACH {
             (taken, window) = (0, now);
         }
         if taken >= MOST {
             one(&fronts.counters.over_budget);
-            may::coroutine::sleep(wait((window + EACH).since(now).max(Span::from_millis(1))));
+            sleep((window + EACH).since(now).max(Span::from_millis(1)));
             continue;
         }
-        let left = due.since(state.clock.now()).max(Span::from_millis(1));
+        let due_in = fronts.duties.as_ref().map(|duties| duties.due_in());
+        let now = state.clock.now();
+        let signals_in = fronts.signals.as_ref().map(|signals| signals.due_in(now));
+        let own = due_in.into_iter().chain(signals_in).fold(EACH * 600.0, Span::min);
+        let left = due.since(now).min(own).max(Span::from_millis(1));
         if fronts.socket.set_read_timeout(Some(wait(left))).is_err() {
             return;
         }
@@ -209,7 +321,7 @@
             // Where a member's port is closed the next receive says so: that is one more lost datagram.
             Ok(_) => {}
             Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {}
-            Err(_) => may::coroutine::sleep(wait(Span::from_millis(5))),
+            Err(_) => sleep(Span::from_millis(5)),
         }
     }
 }
--- /dev/null
+++ b/front/src/fronts/signals.rs
@@ -0,0 +1,145 @@
+//! What this front saw of engines goes to some others, and what they saw comes in: the package decides what of it counts, the
+//! module judges.
+
+use super::Fronts;
+use crate::state::{State, lock};
+use larchfall::time::{At, Span};
+use larchfall_signals::Process;
+use larchfall_signals::desk::{Bounds, Desk};
+use larchfall_signals::wire::{Letter, MOST_ENGINES};
+use larchfall_site::Signals as Site;
+use nanorand::{Rng, WyRand};
+use slog::info;
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddrV4;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Pages and lines that are kept of others.
+const BOUNDS: Bounds = Bounds { fronts: 1024, processes: 1024 };
+
+struct Inner {
+    desk: Desk,
+    next: At,
+    chance: WyRand,
+}
+
+pub struct Signals {
+    site: Site,
+    inner: Mutex<Inner>,
+    sent: AtomicU64,
+    heard: AtomicU64,
+    passed_over: AtomicU64,
+    counted: AtomicU64,
+}
+
+impl Signals {
+    pub fn new(state: &State, site: Site, seed: u64, now: At) -> Signals {
+        state.facade.notes_sights(BOUNDS.processes);
+        let inner = Inner {
+            desk: Desk::new(BOUNDS, site.weigh, site.turn),
+            next: now,
+            chance: WyRand::new_seed(seed),
+        };
+        let n = AtomicU64::default;
+        Signals { site, inner: Mutex::new(inner), sent: n(), heard: n(), passed_over: n(), counted: n() }
+    }
+
+    pub fn due_in(&self, now: At) -> Span {
+        lock(&self.inner).next.since(now)
+    }
+
+    /// At steady times: tells some others what is new, and counts what others told.
+    pub fn wake(&self, state: &State, fronts: &Fronts) {
+        let now = state.clock.now();
+        {
+            let mut inner = lock(&self.inner);
+            if now < inner.next {
+                return;
+            }
+            inner.next = now + self.site.every;
+        }
+        self.tell(state, fronts);
+        self.count(state, fronts, now);
+    }
+
+    fn tell(&self, state: &State, fronts: &Fronts) {
+        let Some((number, saw)) = state.facade.sights_to_tell(MOST_ENGINES) else { return };
+        let (me, mut others) = {
+            let members = lock(&fronts.members);
+            let others: Vec<SocketAddrV4> = members
+                .live()
+                .filter(|(name, _)| **name != fronts.name)
+                .map(|(_, m)| m.about.address)
+                .collect();
+            (members.myself().claim.generation, others)
+        };
+        lock(&self.inner).chance.shuffle(&mut others);
+        let bytes = Letter::new(&fronts.cluster, &fronts.name, me, number, saw).seal();
+        for to in others.into_iter().take(self.site.fanout) {
+            if fronts.socket.inner().send_to(&bytes, to).is_ok() {
+                self.sent.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    fn count(&self, state: &State, fronts: &Fronts, now: At) {
+        let there: HashSet<Process> = state.facade.processes().into_iter().collect();
+        let living: BTreeMap<String, String> = fronts.living().into_iter().collect();
+        let is_there = |process: Process| there.contains(&process);
+        let outcomes = lock(&self.inner).desk.look(state.facade.own_sights(), &living, is_there, now);
+        for (process, bad) in outcomes {
+            self.counted.fetch_add(1, Ordering::Relaxed);
+            state.facade.told_of(process, bad);
+        }
+        // After the verdicts: what was just left out waits for its turn from the start.
+        for process in state.facade.failing() {
+            let mine = lock(&self.inner).desk.may_try(&fronts.name, process, &living, now);
+            state.facade.turn(process, mine);
+        }
+    }
+
+    /// A datagram about what another front saw.
+    pub fn hear(&self, state: &State, fronts: &Fronts, bytes: &[u8], from: SocketAddrV4) {
+        self.heard.fetch_add(1, Ordering::Relaxed);
+        let letter = Letter::open(bytes, &fronts.cluster);
+        let known = letter.and_then(|letter| {
+            let members = lock(&fronts.members);
+            let member = members.table().get(&letter.name).filter(|m| m.about.address == from)?;
+            // One that was held for dead for a while goes on under a later generation; an older one is another process.
+            let now = !member.claim.is_final() && letter.generation >= member.claim.generation;
+            now.then(|| (member.about.zone.clone(), letter))
+        });
+        let Some((zone, letter)) = known else {
+            self.passed_over.fetch_add(1, Ordering::Relaxed);
+            return;
+        };
+        let who = (&letter.name[..], letter.generation, &zone[..]);
+        lock(&self.inner).desk.hear(who, letter.number, &letter.saw, state.clock.now());
+    }
+
+    /// What others told of a process and what this front saw: fronts, answered and failed there, the age of the newest word in
+    /// seconds, answered and failed here, and whether it would be this front's turn to try it.
+    pub fn row(&self, me: &str, living: &BTreeMap<String, String>, process: Process, now: At) -> [String; 7] {
+        let inner = lock(&self.inner);
+        let (told, own) = inner.desk.known(process);
+        let age = told.heard.map_or(String::new(), |at| format!("{:.1}", now.since(at).secs()));
+        let turn = if inner.desk.may_try(me, process, living, now) { "mine" } else { "another's" };
+        let n = |n: u32| n.to_string();
+        [
+            n(own.answered),
+            n(own.failed),
+            told.fronts.to_string(),
+            n(told.answered),
+            n(told.failed),
+            age,
+            turn.into(),
+        ]
+    }
+
+    pub fn log(&self, state: &State) {
+        let n = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        info!(state.log, "signals: counters"; "sent" => n(&self.sent), "heard" => n(&self.heard),
+            "passed_over" => n(&self.passed_over), "counted" => n(&self.counted));
+    }
+}
--- a/front/src/lib.rs
+++ b/front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod intake;
 pub mod run;
 pub mod state;
+pub mod subset;
 pub mod task;
 pub mod timer;
 pub mod wire;
--- a/front/src/run/command.rs
+++ b/front/src/run/command.rs
@@ -1,6 +1,9 @@
 //! The command line.
 
-use super::{config as files, serve};
+use super::parts::Parts;
+use super::{config as files, serve, survey};
+use crate::fronts::{ask, mind};
+use larchfall::time::Span;
 use lexopt::prelude::*;
 use std::process::ExitCode;
 
@@ -9,6 +12,12 @@
 
 usage: larchfall [serve] [--config FILE] [--site FILE]   run a front (the default)
        larchfall check [--config FILE] [--site FILE]     read both files and say what is wrong
+       larchfall fronts --config FILE --site FILE        whom the running front knows, and how they stand
+       larchfall duties --config FILE --site FILE        who holds what, as the running front knows it
+       larchfall shares --config FILE --site FILE        its parts of what is handed out, and what it hands out itself
+       larchfall engines --config FILE --site FILE       what it makes of each engine, and what others saw there
+       larchfall subsets --config FILE --site FILE --fronts N [--chart FILE.svg]
+                                                         what [subsets] comes to over so many fronts; none is asked
        larchfall version                                 print the version
        larchfall help                                    print this
 
@@ -24,12 +33,25 @@
     "usage: larchfall serve [--config FILE] [--site FILE]\n\nRuns a front until SIGTERM.\n";
 const CHECK_HELP: &str =
     "usage: larchfall check [--config FILE] [--site FILE]\n\nReads both files and says what is wrong.\n";
+const ASK_HELP: &str = "usage: larchfall fronts|duties|shares|engines [--config FILE] [--site FILE]\n\nAsks the front that runs \
+                        with these files, on its own machine.\n";
+const SUBSETS_HELP: &str = "usage: larchfall subsets --config FILE --site FILE --fronts N [--chart FILE.svg]\n\nWorks out who \
+                            would use which of the engines that the configuration names.\n";
 const VERSION_HELP: &str = "usage: larchfall version\n\nPrints the version.\n";
 
+/// A plan of more is no use to anybody.
+const MOST_FRONTS: usize = 10_000;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Task {
     Serve,
     Check,
+    /// Ask a running front.
+    Ask(ask::What),
+    /// Work out what subsets come to.
+    Subsets,
+    /// Run a program while a lease lasts; for fronts themselves.
+    Mind,
     Version,
     Help(&'static str),
 }
@@ -40,11 +62,19 @@
     pub task: Task,
     pub config: Option<String>,
     pub site: Option<String>,
+    /// Of a minder: the program, and what it has between being told to end and being killed.
+    pub command: Vec<String>,
+    pub end: Span,
+    /// Of subsets: over so many fronts, and where the chart goes.
+    pub fronts: usize,
+    pub chart: Option<String>,
 }
 
 pub fn parse(args: impl IntoIterator<Item = String>) -> Result<Asked, String> {
     let mut parser = lexopt::Parser::from_args(args);
     let (mut task, mut config, mut site, mut help) = (None, None, None, false);
+    let (mut command, mut end) = (Vec::new(), Span::ZERO);
+    let (mut fronts, mut chart) = (0, None);
     let plain = |e: lexopt::Error| e.to_string();
     while let Some(arg) = parser.next().map_err(plain)? {
         match arg {
@@ -55,10 +85,29 @@
             Long("site") if takes_files(task) => {
                 site = Some(parser.value().map_err(plain)?.string().map_err(plain)?);
             }
+            Long("fronts") if task == Some(Task::Subsets) => {
+                fronts = parser.value().map_err(plain)?.parse().map_err(plain)?;
+            }
+            Long("chart") if task == Some(Task::Subsets) => {
+                chart = Some(parser.value().map_err(plain)?.string().map_err(plain)?);
+            }
+            Long("end-ms") if task == Some(Task::Mind) => {
+                end = Span::from_millis(parser.value().map_err(plain)?.parse().map_err(plain)?);
+            }
+            Value(word) if task == Some(Task::Mind) => {
+                let all = std::iter::once(word).chain(parser.raw_args().map_err(plain)?);
+                command = all.map(|word| word.to_string_lossy().into_owned()).collect();
+            }
             Value(word) if task.is_none() => {
                 task = Some(match word.to_string_lossy().as_ref() {
                     "serve" => Task::Serve,
                     "check" => Task::Check,
+                    "fronts" => Task::Ask(ask::What::Fronts),
+                    "duties" => Task::Ask(ask::What::Duties),
+                    "shares" => Task::Ask(ask::What::Shares),
+                    "engines" => Task::Ask(ask::What::Engines),
+                    "subsets" => Task::Subsets,
+                    "mind" => Task::Mind,
                     "version" => Task::Version,
                     "help" => Task::Help(HELP),
                     other => return Err(format!("unknown command '{other}'")),
@@ -71,20 +120,26 @@
         let task = Task::Help(match task {
             Some(Task::Serve) => SERVE_HELP,
             Some(Task::Check) => CHECK_HELP,
+            Some(Task::Ask(_)) => ASK_HELP,
+            Some(Task::Subsets) => SUBSETS_HELP,
             Some(Task::Version) => VERSION_HELP,
             _ => HELP,
         });
-        return Ok(Asked { task, config: None, site: None });
+        return Ok(Asked { task, config: None, site: None, command, end, fronts, chart });
     }
-    Ok(Asked { task: task.unwrap_or(Task::Serve), config, site })
+    Ok(Asked { task: task.unwrap_or(Task::Serve), config, site, command, end, fronts, chart })
 }
 
 fn takes_files(task: Option<Task>) -> bool {
-    !matches!(task, Some(Task::Version | Task::Help(_)))
+    !matches!(task, Some(Task::Version | Task::Mind | Task::Help(_)))
 }
 
 pub fn main() -> ExitCode {
-    let Asked { task, config, site } = match parse(std::env::args().skip(1)) {
+    main_on(Parts::default())
+}
+
+pub fn main_on(parts: Parts) -> ExitCode {
+    let Asked { task, config, site, command, end, fronts, chart } = match parse(std::env::args().skip(1)) {
         Ok(asked) => asked,
         Err(why) => {
             eprintln!("larchfall: {why}; see larchfall help");
@@ -94,7 +149,8 @@
     match task {
         Task::Help(text) => print!("{text}"),
         Task::Version => println!("larchfall {}", env!("CARGO_PKG_VERSION")),
-        Task::Serve | Task::Check => {
+        Task::Mind => return mind::run(end, &command),
+        Task::Serve | Task::Check | Task::Ask(_) | Task::Subsets => {
             let read = config
                 .or_else(|| std::env::var("NODE_CONFIG").ok())
                 .ok_or("no configuration: give --config FILE or set NODE_CONFIG".to_owned())
@@ -113,12 +169,18 @@
                     return ExitCode::from(2);
                 }
             };
+            if let Task::Ask(what) = task {
+                return asked(what, site.and_then(|(_, site)| site.fronts));
+            }
+            if task == Task::Subsets {
+                return surveyed(&config, site.and_then(|(_, site)| site.subsets), fronts, chart);
+            }
             if task == Task::Check {
                 println!("{file}: sound");
                 if let Some((file, _)) = site {
                     println!("{file}: sound");
                 }
-            } else if let Err((code, why)) = serve::run(file, config, site) {
+            } else if let Err((code, why)) = serve::run(file, config, site, parts) {
                 eprintln!("larchfall: {why}");
                 return ExitCode::from(code);
             }
@@ -126,3 +188,61 @@
     }
     ExitCode::SUCCESS
 }
+
+/// What the operator's `[subsets]` comes to.
+fn surveyed(
+    config: &files::Config,
+    site: Option<larchfall_site::Subsets>,
+    fronts: usize,
+    chart: Option<String>,
+) -> ExitCode {
+    let Some(site) = site.filter(|_| (1..=MOST_FRONTS).contains(&fronts)) else {
+        eprintln!(
+            "larchfall: wanted --site FILE with a [subsets] table, and --fronts from 1 to {MOST_FRONTS}"
+        );
+        return ExitCode::from(2);
+    };
+    let (engines, all) = survey::of(config, &site, fronts);
+    println!("{}", survey::text(&engines, &all));
+    if let Some(Err(why)) = chart.map(|file| survey::chart(&file, &all)) {
+        eprintln!("larchfall: {why}");
+        return ExitCode::from(1);
+    }
+    ExitCode::SUCCESS
+}
+
+fn asked(what: ask::What, fronts: Option<larchfall_site::Fronts>) -> ExitCode {
+    let Some(fronts) = fronts else {
+        eprintln!("larchfall: the site file has no [fronts] table; give --site FILE");
+        return ExitCode::from(2);
+    };
+    let head: &[&str] = match what {
+        ask::What::Fronts => {
+            &["front", "standing", "generation", "address", "zone", "since s", "heard s ago"]
+        }
+        ask::What::Duties => &["duty", "holder", "token", "left ms", "last ended here"],
+        ask::What::Engines => &[
+            "engine",
+            "listed",
+            "is",
+            "in reach",
+            "load",
+            "answered",
+            "failed",
+            "others",
+            "answered",
+            "failed",
+            "heard s ago",
+            "turn",
+        ],
+        ask::What::Shares => &["what", "part", "by", "kept here: fronts", "in use", "jain", "factor"],
+    };
+    match ask::ask(fronts.address, &fronts.settings.cluster, what) {
+        Ok(rows) => println!("{}", ask::table(head, rows)),
+        Err(e) => {
+            eprintln!("larchfall: {e}");
+            return ExitCode::from(1);
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/front/src/run/mod.rs
+++ b/front/src/run/mod.rs
@@ -3,6 +3,8 @@
 pub mod command;
 pub mod config;
 pub mod log;
+pub mod parts;
 pub mod reload;
 pub mod serve;
 pub mod stop;
+pub mod survey;
--- a/front/src/run/reload.rs
+++ b/front/src/run/reload.rs
@@ -6,7 +6,7 @@
 use crate::doors::rest::Door;
 use crate::fronts::Fronts;
 use crate::state::State;
-use crate::state::clock::wait;
+use crate::state::clock::sleep;
 use larchfall::time::Span;
 use larchfall_site::Site;
 use may::io::CoIo;
@@ -46,11 +46,12 @@
     while matches!(asked.read(&mut byte), Ok(1)) {
         // Both files or neither: each is checked against the other.
         if let Some(Read { config, site }) = read(state, files) {
-            if let Some((door, rest)) = door.zip(site.rest) {
+            let Site { rest, fronts: site, duties, .. } = *site;
+            if let Some((door, rest)) = door.zip(rest) {
                 door.reload(rest);
             }
-            if let Some((fronts, site)) = fronts.zip(site.fronts) {
-                fronts.set(site.settings);
+            if let Some((fronts, site)) = fronts.zip(site) {
+                fronts.set(state, site.settings, duties);
             }
             for event in &config.known {
                 board::take(state, event);
@@ -84,7 +85,7 @@
             Ok(read) => return Some(read),
             Err(why) => warn!(state.log, "configuration not taken: {}", why; "attempt" => attempt),
         }
-        may::coroutine::sleep(wait(PAUSE));
+        sleep(PAUSE);
     }
     None
 }
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -1,25 +1,33 @@
 //! Puts the parts together and lets them run.
 
 use super::config::Config;
+use super::parts::Parts;
 use super::{log, reload, stop};
 use crate::doors::rest::{self, Door};
 use crate::doors::rpc;
 use crate::engines::platform::RUNS_ON;
+use crate::fronts::duties::{Duty, Keeper, Shared};
+use crate::fronts::signals::Signals;
 use crate::fronts::{self, Fronts};
 use crate::state::State;
-use crate::state::clock::{Clock, wait};
+use crate::state::clock::{Clock, sleep};
 use crate::state::counters::Counters;
 use crate::state::facade::Facade;
 use crate::state::heart::Heart;
 use crate::state::peer::Peers;
 use crate::state::pool::Pool;
+use crate::subset::{self, Subset};
 use crate::{board, timer};
-use larchfall::interface::{Caps, Effect};
+use larchfall::interface::{Caps, Effect, Given};
 use larchfall::policy::Policy;
 use larchfall::time::Span;
+use larchfall_duty::probing::Probing;
+use larchfall_duty::wire::Who;
 use larchfall_members::claim::About;
 use larchfall_members::count::Count;
-use larchfall_site::Site;
+use larchfall_members::members::Members;
+use larchfall_shares::capacity::Capacity;
+use larchfall_site::{Kinds, Site};
 use may::net::TcpListener;
 use slog::{info, warn};
 use std::net::SocketAddrV4;
@@ -28,6 +36,9 @@
 
 /// Bytes of each coroutine's stack. Only pages that were touched count as memory; see docs/front.md.
 const STACK: usize = 64 * 1024;
+/// Coroutines that are kept for reuse, and made at the start. Each has touched two pages of its stack: a thousand, as
+/// the crate has it unless told, are 8 MB and two thousand page faults of a front that uses some dozens.
+const SPARE_COROUTINES: usize = 64;
 const PAUSE: Span = Span::from_millis(2);
 /// One in so many places for clients is kept free.
 const SPARE: usize = 8;
@@ -36,12 +47,18 @@
 const FRESH: Span = Span::from_millis(50);
 
 /// Runs a front to its end; a failure with the exit code for it.
-pub fn run(file: String, config: Config, site: Option<(String, Site)>) -> Result<(), (u8, String)> {
+pub fn run(
+    file: String,
+    config: Config,
+    site: Option<(String, Site)>,
+    parts: Parts,
+) -> Result<(), (u8, String)> {
     may::config().set_workers(1).set_stack_size(STACK / size_of::<usize>()).set_worker_pin(false);
+    may::config().set_pool_capacity(SPARE_COROUTINES);
     let address = config.listen;
     let listener = listen(address)?;
-    let (site_file, rest, fronts) =
-        site.map_or((None, None, None), |(file, site)| (Some(file), site.rest, site.fronts));
+    let (site_file, site) = site.map_or((None, Site::default()), |(file, site)| (Some(file), site));
+    let Site { rest, fronts, duties, subsets, signals: told } = site;
     let rest = match rest {
         Some(site) => {
             let door = Door::new(site.clone(), config.seed)
@@ -61,8 +78,18 @@
     let (log, _writes_the_rest) = log::start(&config.name);
     let (seed, board_address) = (config.seed, config.board);
     let known = config.known;
-    let named = config.settings.fleet.fronts;
-    let state = Arc::new(start(config.settings, limits, seed, log));
+    let s = &config.settings;
+    let shared = Shared {
+        fronts: s.given.fleet.fronts,
+        cold: s.given.cold.clone(),
+        groups: s.given.groups.clone(),
+        customers: s.names.customers.iter().map(|name| Capacity::customer(name)).collect(),
+        kinds: Kinds::default(),
+    };
+    let subset = subsets.map(|site| Subset::new(site, s.given.groups.clone(), s.given.fleet.clone()));
+    let probing = duties.as_ref().and_then(|site| site.probing);
+    let clock = Clock::start((parts.wall)());
+    let state = Arc::new(start(config.settings, limits, seed, log, probing, clock));
     for event in &known {
         board::take(&state, event);
     }
@@ -74,7 +101,16 @@
         info!(state.log, "listening for rest"; "connections" => site.connections, "results" => site.caps.results,
             "address" => listener.local_addr().unwrap_or(site.listen.into()).to_string());
     }
-    let fronts = fronts.map(|site| join_fronts(&state, site, named, seed)).transpose()?;
+    let (fronts, keeper) = match fronts {
+        Some(site) => {
+            let (fronts, keeper) = join_fronts(&state, site, (duties, told), shared, seed, parts)?;
+            (Some(fronts), keeper)
+        }
+        None => (None, None),
+    };
+    if let (Some(keeper), Some(fronts)) = (keeper, &fronts) {
+        keeper.run(&state, fronts).map_err(|e| (1, format!("the thread that keeps records: {e}")))?;
+    }
     let main = {
         let state = state.clone();
         may::go!(move || {
@@ -82,6 +118,9 @@
                 let state = state.clone();
                 may::go!(move || fronts::run(&state, &fronts));
             }
+            if let Some(subset) = subset {
+                subset::start(&state, fronts.clone(), subset);
+            }
             let (s1, s2, s3) = (state.clone(), state.clone(), state.clone());
             let door = rest.as_ref().map(|(door, ..)| door.clone());
             let of_timer = door.clone();
@@ -119,16 +158,25 @@
 fn join_fronts(
     state: &State,
     site: larchfall_site::Fronts,
-    named: usize,
+    (duties, signals): (Option<larchfall_site::Duties>, Option<larchfall_site::Signals>),
+    shared: Shared,
     seed: u64,
-) -> Result<Arc<Fronts>, (u8, String)> {
+    parts: Parts,
+) -> Result<(Arc<Fronts>, Option<Keeper>), (u8, String)> {
     let about = About { address: site.told, zone: site.zone, serves: site.serves };
     let now = state.clock.now();
-    let count = site.count.map(|settings| Count::new(settings, named, now));
-    let opened = Fronts::open(&site.name, site.address, about, site.settings, count, seed, now);
+    let count = site.count.map(|settings| Count::new(settings, shared.fronts, now));
+    let me = Who { name: site.name, generation: now.micros() };
+    let cluster = site.settings.cluster.clone();
+    let members = Members::new(&me.name, me.generation, about, site.settings, seed, now);
+    let opened = duties.map(|duties| Duty::open(state, duties, me.clone(), seed, parts, shared));
+    let opened = opened.transpose().map_err(|e| (1, format!("duties: {e}")))?;
+    let (duties, keeper) = opened.map_or((None, None), |(duties, keeper)| (Some(duties), keeper));
+    let signals = signals.map(|site| Signals::new(state, site, seed, now));
+    let opened = Fronts::open(site.address, members, (cluster, me.name.clone()), count, duties, signals);
     let fronts = opened.map_err(|e| (2, format!("fronts.address: {}: {e}", site.address)))?;
-    info!(state.log, "fronts: listening"; "name" => &site.name, "address" => fronts.address().to_string());
-    Ok(fronts)
+    info!(state.log, "fronts: listening"; "name" => &me.name, "address" => fronts.address().to_string());
+    Ok((fronts, keeper))
 }
 
 /// may's listener shares its port with any other of ours; a plain one finds out whether the port is free.
@@ -142,13 +190,14 @@
     limits: crate::state::limits::Limits,
     seed: u64,
     log: slog::Logger,
+    probing: Option<larchfall_duty::probing::Settings>,
+    clock: Clock,
 ) -> State {
-    let clock = Clock::start();
-    let in_order = s.groups.iter().map(|g| g.in_order).collect();
-    let referenced = s.groups.iter().map(|g| matches!(g.effect, Effect::Referenced { .. })).collect();
-    let come_back = s.caps.come_back;
-    let caps = Caps { forgets: Some(RUNS_ON), links_kept: Pool::kept(s.idle_close), ..s.caps };
-    let policy = Policy::new(seed, s.fleet, s.groups, s.customers, caps, (s.cold, s.key_quiet), s.ration);
+    let in_order = s.given.groups.iter().map(|g| g.in_order).collect();
+    let referenced = s.given.groups.iter().map(|g| matches!(g.effect, Effect::Referenced { .. })).collect();
+    let come_back = s.given.caps.come_back;
+    let caps = Caps { forgets: Some(RUNS_ON), links_kept: Pool::kept(s.idle_close), ..s.given.caps };
+    let policy = Policy::new(seed, Given { caps, ..s.given });
     State {
         clock,
         counters: Counters::new(s.names.groups.len()),
@@ -167,6 +216,8 @@
         ends: Mutex::new(None),
         done: AtomicBool::new(false),
         board: AtomicU64::new(0),
+        board_heard: AtomicU64::new(clock.now().micros()),
+        probing: probing.map(|settings| Mutex::new(Probing::new(settings, clock.now()))),
     }
 }
 
@@ -181,7 +232,7 @@
             state.peers.make_room(spare, state.clock.now() - FRESH);
         }
         if state.peers.len() >= most || state.heart.starves_others(state.clock.now()) {
-            may::coroutine::sleep(wait(PAUSE));
+            sleep(PAUSE);
             continue;
         }
         match listener.accept() {
@@ -192,7 +243,7 @@
             }
             Err(e) => {
                 warn!(state.log, "accept: {}", e);
-                may::coroutine::sleep(wait(PAUSE));
+                sleep(PAUSE);
             }
         }
     }
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -4,7 +4,7 @@
 use crate::doors::rest::Door;
 use crate::fronts::Fronts;
 use crate::state::State;
-use crate::state::clock::wait;
+use crate::state::clock::sleep;
 use larchfall::time::Span;
 use may::io::CoIo;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
@@ -75,12 +75,13 @@
     info!(state.log, "told to stop"; "in_hand" => state.facade.in_hand(), "clients" => state.peers.len());
     let killed = ends + LAST_ANSWERS;
     loop {
-        may::coroutine::sleep(wait(LOOK));
+        sleep(LOOK);
         let now = state.clock.now();
         // Half-read results go on until then.
         let read = door.is_none_or(|door| door.pages.unread() == 0);
-        let done = state.facade.in_hand() == 0 && state.peers.are_idle() && read;
-        if (done && now.since(told) >= CLIENTS_COME) || now >= killed {
+        // A front that stood still has come here before it heard its sockets: what clients wrote meanwhile is unread.
+        let heard = state.heart.looked_since(told + CLIENTS_COME);
+        if (!is_owed(state) && read && heard) || now >= killed {
             break;
         }
     }
@@ -90,7 +91,13 @@
     state.peers.wake_quiet(state.clock.now(), state.clock.now());
     let until = state.clock.now() + LAST_LINES;
     let open = || state.peers.len() + door.map_or(0, |door| door.clients());
-    while open() > 0 && state.clock.now() < until {
-        may::coroutine::sleep(wait(LOOK));
+    // What was read between the last look and here was taken, and gets its answer as all else did.
+    let goes_on = |now| (is_owed(state) && now < killed) || (open() > 0 && now < until);
+    while goes_on(state.clock.now()) {
+        sleep(LOOK);
     }
 }
+
+fn is_owed(state: &State) -> bool {
+    state.facade.in_hand() > 0 || !state.peers.are_idle()
+}
--- /dev/null
+++ b/front/src/run/survey.rs
@@ -0,0 +1,71 @@
+//! `larchfall subsets`: what the operator's `[subsets]` comes to over so many fronts, from the files alone; no front is asked.
+
+use super::config::Config;
+use crate::fronts::ask::table;
+use crate::state::engines::Engines;
+use larchfall_site::Subsets;
+use larchfall_subsets::survey::{Survey, survey};
+use larchfall_subsets::{Front, Listed};
+use plotters::prelude::*;
+use std::collections::BTreeSet;
+use xxhash_rust::xxh3::xxh3_64;
+
+const SIZE: (u32, u32) = (900, 320);
+
+/// The engines that the configuration names, and fronts by number, spread over the zones that it names.
+pub fn of(config: &Config, site: &Subsets, fronts: usize) -> (Vec<Listed>, Survey) {
+    let mut engines = Engines::default();
+    for event in &config.known {
+        engines.follow(event);
+    }
+    let engines: Vec<Listed> = engines.ready().into_iter().map(|(_, id, told)| Listed { id, told }).collect();
+    let zones = config.settings.names.zones.len().max(1);
+    let front = |i: usize| Front { number: xxh3_64(format!("front {i}").as_bytes()), zone: Some(i % zones) };
+    let fronts: BTreeSet<Front> = (0..fronts).map(front).collect();
+    let all = survey(site.plan, &fronts, &engines, &config.settings.given.groups);
+    (engines, all)
+}
+
+pub fn text(engines: &[Listed], all: &Survey) -> String {
+    let row = |x: &Listed| {
+        let users = all.plan.users.get(&x.id).copied().unwrap_or(0);
+        [
+            format!("{:08x}", x.id),
+            x.told.zone.to_string(),
+            x.told.kind.to_string(),
+            x.told.cell.to_string(),
+            users.to_string(),
+        ]
+        .into()
+    };
+    let rows = table(&["engine", "zone", "kind", "cell", "fronts"], engines.iter().map(row).collect());
+    let ((pairs, every), (least, mean, most), (front, engine)) = (all.pairs, all.users, all.moved);
+    format!(
+        "{rows}\n{pairs} pairs of {every}; fronts of an engine: {least} at least, {mean:.1} in the mean, {most} at most\n\
+         new to those that stay, in parts of what the one that went had: {front:.2} as a front goes, {engine:.2} as an engine goes"
+    )
+}
+
+/// Fronts by engine as bars, in the order of their number.
+pub fn chart(file: &str, all: &Survey) -> Result<(), String> {
+    let said = |e: &dyn std::fmt::Display| format!("{file}: {e}");
+    let mut users: Vec<usize> = all.plan.users.values().copied().collect();
+    users.sort();
+    let area = SVGBackend::new(file, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(|e| said(&e))?;
+    let most = users.last().copied().unwrap_or(0) as f64 * 1.1 + 1.0;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("fronts that use an engine, by engine", ("sans-serif", 16))
+        .margin(6)
+        .x_label_area_size(24)
+        .y_label_area_size(40)
+        .build_cartesian_2d(0.0..users.len().max(1) as f64, 0.0..most)
+        .map_err(|e| said(&e))?;
+    chart.configure_mesh().disable_x_mesh().draw().map_err(|e| said(&e))?;
+    let bar = |(n, users): (usize, &usize)| {
+        let corners = [(n as f64 + 0.1, 0.0), (n as f64 + 0.9, *users as f64)];
+        Rectangle::new(corners, BLUE.mix(0.6).filled())
+    };
+    chart.draw_series(users.iter().enumerate().map(bar)).map_err(|e| said(&e))?;
+    area.present().map_err(|e| said(&e))
+}
--- a/front/src/state/engines.rs
+++ b/front/src/state/engines.rs
@@ -3,8 +3,9 @@
 use crate::wire::board::{Entry, Event};
 use larchfall::interface::{Engine, EngineState};
 use larchfall::time::At;
+use larchfall_signals::Process;
 use slab::Slab;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 
 /// Where a process listens, and its number among all that there were: another may come to the same address.
@@ -38,10 +39,10 @@
 #[derive(Debug, Default, PartialEq)]
 pub struct Changes {
     pub told: Vec<(usize, Engine)>,
-    /// A whole list drops what it does not name.
-    pub left: Vec<usize>,
     /// Other processes than before: what was connected to the one before is of no more use.
     pub moved: Vec<usize>,
+    /// Among those told, the ones that were not listed before, or as another process.
+    pub new: Vec<usize>,
 }
 
 impl Engines {
@@ -53,6 +54,48 @@
         self.listed.get(e).map(|l| Home { address: l.entry.address, era: l.era })
     }
 
+    /// How many are listed and not gone, and those that are ready, with their ids.
+    pub fn listed(&self) -> (usize, Vec<(usize, u32)>) {
+        let ready = self.listed.iter().filter(|(_, l)| l.entry.state == EngineState::Ready);
+        let listed = self.listed.iter().filter(|(_, l)| !l.is_gone()).count();
+        (listed, ready.map(|(e, l)| (e, l.entry.id)).collect())
+    }
+
+    /// Those that are ready: index, id, and what the list says of them.
+    pub fn ready(&self) -> Vec<(usize, u32, Engine)> {
+        let ready = self.listed.iter().filter(|(_, l)| l.entry.state == EngineState::Ready);
+        ready.map(|(e, l)| (e, l.entry.id, engine(&l.entry))).collect()
+    }
+
+    pub fn id(&self, e: usize) -> Option<u32> {
+        self.listed.get(e).map(|l| l.entry.id)
+    }
+
+    /// The process that has this index.
+    pub fn process(&self, e: usize) -> Option<Process> {
+        self.listed.get(e).map(|l| Process { id: l.entry.id, started_ms: l.entry.started_ms })
+    }
+
+    pub fn of_process(&self, process: Process) -> Option<usize> {
+        let e = self.of_id(process.id)?;
+        self.listed.get(e).filter(|l| !l.is_gone() && l.entry.started_ms == process.started_ms).map(|_| e)
+    }
+
+    pub fn processes(&self) -> Vec<Process> {
+        let there = self.listed.iter().filter(|(_, l)| !l.is_gone());
+        there.filter_map(|(e, _)| self.process(e)).collect()
+    }
+
+    /// Index, process and state of all that are not gone.
+    pub fn standing(&self) -> impl Iterator<Item = (usize, Process, EngineState)> + '_ {
+        let there = self.listed.iter().filter(|(_, l)| !l.is_gone());
+        there.filter_map(|(e, l)| Some((e, self.process(e)?, l.entry.state)))
+    }
+
+    pub fn of_id(&self, id: u32) -> Option<usize> {
+        self.by_id.get(&id).copied()
+    }
+
     /// Whether what was picked for this process may still be sent there: the list has neither moved nor dropped
     /// it, and where it drains by now, the pick is `fresh`.
     pub fn is_open(&self, e: usize, home: Home, fresh: bool) -> bool {
@@ -88,6 +131,7 @@
                     self.eras += 1;
                     let e = self.listed.insert(Listed { entry: *entry, era: self.eras });
                     self.by_id.insert(entry.id, e);
+                    changes.new.push(e);
                     e
                 }
             };
@@ -97,13 +141,16 @@
                 self.eras += 1;
                 listed.era = self.eras;
                 changes.moved.push(e);
+                changes.new.push(e);
             }
             changes.told.push((e, engine(entry)));
         }
+        // A whole list drops what it does not name.
+        let named: HashSet<usize> = changes.told.iter().map(|(e, _)| *e).collect();
         for (e, listed) in self.listed.iter_mut().filter(|_| event.whole) {
-            if !listed.is_gone() && !changes.told.iter().any(|(t, _)| *t == e) {
+            if !listed.is_gone() && !named.contains(&e) {
                 listed.entry.state = EngineState::Gone;
-                changes.left.push(e);
+                changes.told.push((e, engine(&listed.entry)));
             }
         }
         changes
--- a/front/src/state/facade.rs
+++ b/front/src/state/facade.rs
@@ -9,9 +9,13 @@
 use larchfall::interface::*;
 use larchfall::policy::Policy;
 use larchfall::time::At;
+use larchfall_shares::capacity::Capacity;
+use larchfall_shares::demand::Came;
+use larchfall_signals::sights::{Saw, Sights};
+use larchfall_signals::{Counts, Process};
 use may::sync::Blocker;
 use slab::Slab;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::{Arc, Mutex};
 
 pub use larchfall::policy::TICK;
@@ -25,6 +29,17 @@
     InHand,
 }
 
+/// What this front makes of an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Verdict {
+    pub process: Process,
+    pub state: EngineState,
+    pub failing: bool,
+    pub congested: bool,
+    /// Within its subset, or no subsets are on.
+    pub used: bool,
+}
+
 /// A batch in hand.
 #[derive(Default)]
 struct InHand {
@@ -42,6 +57,23 @@
     ids: HashSet<u64>,
     due: Due,
     timer: Option<Arc<Blocker>>,
+    came: Came,
+    careful: Option<f64>,
+    /// Engines that this front uses, by id, where it does not use all, and the part of each that is its own.
+    used: Option<BTreeMap<u32, f64>>,
+    /// What this front saw of engines, where others are told.
+    sights: Option<Sights>,
+}
+
+impl Inner {
+    fn uses(&self, id: u32) -> bool {
+        self.used.as_ref().is_none_or(|used| used.contains_key(&id))
+    }
+
+    /// This front's part of an engine among those that use it, where the plan says one.
+    fn mine(&self, id: u32) -> Option<f64> {
+        self.used.as_ref()?.get(&id).copied().filter(|part| *part > 0.0)
+    }
 }
 
 pub struct Facade {
@@ -53,8 +85,20 @@
 impl Facade {
     pub fn new(policy: Policy, clock: Clock, most: usize) -> Facade {
         let (engines, hand, due) = (Engines::default(), Slab::new(), Due::default());
-        let ids = HashSet::new();
-        Facade { inner: Mutex::new(Inner { policy, engines, hand, ids, due, timer: None }), clock, most }
+        let (ids, came) = (HashSet::new(), Came::default());
+        let inner = Inner {
+            policy,
+            engines,
+            hand,
+            ids,
+            due,
+            timer: None,
+            came,
+            careful: None,
+            used: None,
+            sights: None,
+        };
+        Facade { inner: Mutex::new(inner), clock, most }
     }
 
     pub fn take(&self, id: u64, batch: Batch) -> Result<usize, NotTaken> {
@@ -66,6 +110,7 @@
             return Err(NotTaken::InHand);
         }
         let b = inner.hand.insert(InHand { id, ..InHand::default() });
+        inner.came.add(batch.group, batch.customer);
         inner.policy.take(self.clock.now(), b, batch);
         Ok(b)
     }
@@ -106,6 +151,73 @@
         lock(&self.inner).policy.after(self.clock.now(), b, number, answer)
     }
 
+    /// Others are to be told what this front sees, of so many processes at most.
+    pub fn notes_sights(&self, most: usize) {
+        lock(&self.inner).sights = Some(Sights::new(most));
+    }
+
+    /// What a dispatch to the process that had this index then tells of it.
+    pub fn saw(&self, e: usize, home: Home, outcome: Outcome) {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        let Some((sights, saw)) = inner.sights.as_mut().zip(Saw::of(outcome)) else { return };
+        if let Some(process) = inner.engines.process(e).filter(|_| inner.engines.home(e) == Some(home)) {
+            sights.see(process, saw, self.clock.now());
+        }
+    }
+
+    /// The number and entries of a letter about it, where there is anything.
+    pub fn sights_to_tell(&self, most: usize) -> Option<(u64, Vec<(Process, Counts)>)> {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        let sights = inner.sights.as_mut()?;
+        sights.keep(|process| inner.engines.of_process(process).is_some());
+        Some(sights.to_tell(most, self.clock.now())).filter(|(_, saw)| !saw.is_empty())
+    }
+
+    /// All processes of engines that are listed and not gone.
+    pub fn processes(&self) -> Vec<Process> {
+        lock(&self.inner).engines.processes()
+    }
+
+    /// An outcome that others saw there.
+    pub fn told_of(&self, process: Process, bad: bool) {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        if let Some(e) = inner.engines.of_process(process) {
+            inner.policy.outcome(self.clock.now(), e, bad, "told");
+        }
+    }
+
+    /// All that this front saw itself.
+    pub fn own_sights(&self) -> Vec<(Process, Counts)> {
+        lock(&self.inner).sights.iter().flat_map(Sights::all).collect()
+    }
+
+    /// Processes that the module judges failing.
+    pub fn failing(&self) -> Vec<Process> {
+        self.verdicts().into_iter().filter(|x| x.failing).map(|x| x.process).collect()
+    }
+
+    /// All that are listed and not gone.
+    pub fn verdicts(&self) -> Vec<Verdict> {
+        let inner = lock(&self.inner);
+        let verdict = |(e, process, state): (usize, Process, EngineState)| {
+            let (failing, congested) = inner.policy.standing(e).unwrap_or_default();
+            Verdict { process, state, failing, congested, used: inner.uses(process.id) }
+        };
+        inner.engines.standing().map(verdict).collect()
+    }
+
+    /// Whether it is this front's turn to try a process that is left out.
+    pub fn turn(&self, process: Process, mine: bool) {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        if let Some(e) = inner.engines.of_process(process) {
+            inner.policy.turn(e, mine);
+        }
+    }
+
     /// The coroutine of this batch ended without a word.
     pub fn lost(&self, b: usize) {
         lock(&self.inner).policy.lost(self.clock.now(), b);
@@ -182,6 +294,90 @@
         }
     }
 
+    /// A report of an engine that another front asked.
+    pub fn told(&self, id: u64, report: Report) {
+        let mut inner = lock(&self.inner);
+        if let Some(e) = u32::try_from(id).ok().and_then(|id| inner.engines.of_id(id)) {
+            inner.policy.probed(self.clock.now(), e, report);
+        }
+    }
+
+    /// How many engines the list names, and those that are ready with their ids.
+    pub fn listed(&self) -> (usize, Vec<(usize, u32)>) {
+        lock(&self.inner).engines.listed()
+    }
+
+    /// Those that are ready, by id, and whether they are cold by this rule.
+    pub fn ready(&self, rule: &ColdRule) -> Vec<(u32, Engine, bool)> {
+        let (inner, now) = (lock(&self.inner), self.clock.now());
+        let used = inner.engines.ready().into_iter().filter(|(_, id, _)| inner.uses(*id));
+        used.map(|(_, id, x)| (id, x, rule.warmth(x.started, now) < 1.0)).collect()
+    }
+
+    /// All that are ready, used or not, by id.
+    pub fn listed_ready(&self) -> Vec<(u32, Engine)> {
+        lock(&self.inner).engines.ready().into_iter().map(|(_, id, x)| (id, x)).collect()
+    }
+
+    /// Whether the module judges an engine failing, and whether its last tick read congested.
+    pub fn standing(&self, id: u32) -> Option<(bool, bool)> {
+        let inner = lock(&self.inner);
+        inner.engines.of_id(id).and_then(|e| inner.policy.standing(e))
+    }
+
+    /// From now on this front uses only engines that it is told to; until then those that it knows.
+    pub fn narrow(&self) {
+        let mut inner = lock(&self.inner);
+        let known = inner.engines.ready().into_iter().map(|(_, id, _)| (id, 0.0)).collect();
+        inner.used = Some(known);
+    }
+
+    /// It uses these, each with its part among those that do; the others are taken like engines that drain.
+    pub fn use_engines(&self, used: &BTreeSet<u32>, parts: BTreeMap<u32, f64>) {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        let before =
+            inner.used.replace(used.iter().map(|id| (*id, parts.get(id).copied().unwrap_or(0.0))).collect());
+        if before == inner.used {
+            return;
+        }
+        for (e, id, _) in inner.engines.ready() {
+            inner.policy.use_engine(e, used.contains(&id));
+            inner.policy.share(e, inner.careful, parts.get(&id).copied());
+        }
+    }
+
+    /// What came so far, by service group and customer.
+    pub fn came(&self) -> Came {
+        lock(&self.inner).came.clone()
+    }
+
+    /// From now on somebody hands out shares: until one is, this is the part of what a cold engine bears.
+    pub fn careful(&self, part: f64) {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        inner.careful = Some(part);
+        inner.engines.ready().iter().for_each(|(e, ..)| inner.policy.share(*e, Some(part), None));
+    }
+
+    /// This front's parts of what engines bear and of customers' allowances; of all others they are even ones.
+    pub fn share(&self, customers: &[Capacity], parts: &BTreeMap<Capacity, f64>) {
+        let mut guard = lock(&self.inner);
+        let inner = &mut *guard;
+        for (e, id, _) in inner.engines.ready() {
+            let part = |what| parts.get(&what).copied();
+            let cold = part(Capacity::Cold(id)).or(inner.careful);
+            inner.policy.share(e, cold, part(Capacity::Threads(id)).or(inner.mine(id)));
+        }
+        for (c, customer) in customers.iter().enumerate() {
+            inner.policy.allowance(c, parts.get(customer).copied());
+        }
+    }
+
+    pub fn id(&self, e: usize) -> Option<u32> {
+        lock(&self.inner).engines.id(e)
+    }
+
     /// Wakes the batches that have come due; the time of the next.
     pub fn wake_due(&self, timer: &Arc<Blocker>) -> Option<At> {
         let mut guard = lock(&self.inner);
@@ -206,10 +402,17 @@
         let now = self.clock.now();
         for (e, engine) in &changes.told {
             inner.policy.engine(now, *e, *engine);
+            if changes.new.contains(e) {
+                // Until they are looked at: no more of a cold one than is kept back, and nothing outside of a subset.
+                let id = inner.engines.id(*e);
+                if inner.careful.is_some() {
+                    inner.policy.share(*e, inner.careful, id.and_then(|id| inner.mine(id)));
+                }
+                inner.policy.use_engine(*e, id.is_none_or(|id| inner.uses(id)));
+            }
         }
-        changes.left.iter().for_each(|e| inner.policy.engine_left(now, *e));
         let gone = changes.told.iter().filter(|(_, engine)| engine.state == EngineState::Gone);
-        gone.map(|(e, _)| *e).chain(changes.left).chain(changes.moved).collect()
+        gone.map(|(e, _)| *e).chain(changes.moved).collect()
     }
 
     /// The last event of the notice board that was taken in.
--- a/front/src/state/heart.rs
+++ b/front/src/state/heart.rs
@@ -79,6 +79,11 @@
         lock(&self.beats).looked = now;
     }
 
+    /// Whether the worker has looked for events since then.
+    pub fn looked_since(&self, at: At) -> bool {
+        lock(&self.beats).looked > at
+    }
+
     /// Whether whoever could go on at once is to wait, so that the worker looks for the events of others.
     pub fn starves_others(&self, now: At) -> bool {
         now.since(lock(&self.beats).looked) > EVENTS_WITHIN
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -17,6 +17,7 @@
 use facade::Facade;
 use heart::Heart;
 use larchfall::time::{At, Span};
+use larchfall_duty::probing::Probing;
 use larchfall_settings::Names;
 use limits::Limits;
 use peer::Peers;
@@ -52,6 +53,10 @@
     pub done: AtomicBool,
     /// Which follower of the notice board is the present one.
     pub board: AtomicU64,
+    /// When the board last said anything, in microseconds of the clock.
+    pub board_heard: AtomicU64,
+    /// What the holders of probing duties tell, where there are such duties.
+    pub probing: Option<Mutex<Probing>>,
 }
 
 impl State {
@@ -63,6 +68,13 @@
         self.done.load(Ordering::Relaxed)
     }
 
+    /// Whether this front is to ask that engine for its load by itself: nobody who asks for all has told it lately.
+    pub fn is_to_ask(&self, e: usize) -> bool {
+        let Some(probing) = &self.probing else { return true };
+        let id = self.facade.id(e).map(u64::from);
+        id.is_none_or(|id| !lock(probing).is_fresh(id, self.clock.now()))
+    }
+
     /// The number of a new follower; the ones before it end.
     pub fn next_board(&self) -> u64 {
         self.board.fetch_add(1, Ordering::Relaxed) + 1
--- a/front/src/state/pages.rs
+++ b/front/src/state/pages.rs
@@ -1,7 +1,7 @@
 //! Open results of the paged protocol, and who waits for a page of them. The bounds are the cursor's; here is who
 //! sleeps and who is woken.
 
-use super::clock::{Clock, wait};
+use super::clock::{Clock, park, wait};
 use super::lock;
 use larchfall::time::{At, Span};
 use larchfall_rest::cursor::{Ask, End, Page, Settled};
@@ -93,7 +93,7 @@
                     Ask::Wait => inner.waiting.entry(place.name.number).or_default().push(blocker.clone()),
                 }
             }
-            let _ = blocker.park(Some(wait(until.since(clock.now())).max(wait(Span::from_millis(1)))));
+            park(&blocker, wait(until.since(clock.now())).max(wait(Span::from_millis(1))));
             let mut inner = lock(&self.inner);
             if let Some(waiting) = inner.waiting.get_mut(&place.name.number) {
                 waiting.retain(|other| !Arc::ptr_eq(other, &blocker));
--- a/front/src/state/seats.rs
+++ b/front/src/state/seats.rs
@@ -2,6 +2,7 @@
 //! module gave, then in turn: while seats are short, they are where batches meet first, and a plain queue would
 //! let the many short ones keep the few of a higher rank out.
 
+use super::clock::park;
 use super::lock;
 use may::sync::Blocker;
 use std::cmp::Reverse;
@@ -42,7 +43,7 @@
             inner.waiting.insert(place, blocker.clone());
             place
         };
-        let _ = blocker.park(Some(within));
+        park(&blocker, within);
         // Who is no longer waiting was given a seat, be it at the last moment.
         lock(&self.inner).waiting.remove(&place).is_none()
     }
--- /dev/null
+++ b/front/src/subset.rs
@@ -0,0 +1,100 @@
+//! The engines that this front uses, where the operator's file has a `[subsets]` table: one coroutine looks at steady times
+//! at who lives and which engines are ready, and tells the module. However many changes there were since, it is one look.
+
+use crate::fronts::Fronts;
+use crate::state::State;
+use crate::state::clock::sleep;
+use larchfall::interface::{Fleet, ServiceGroup};
+use larchfall_site::Subsets;
+use larchfall_subsets::aperture::{Aperture, Sight};
+use larchfall_subsets::plan::Plan;
+use larchfall_subsets::{Front, Listed, needs};
+use slog::info;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// So many ids stand in a line of the log.
+const NAMED: usize = 64;
+
+/// What the plan is worked out from beside what changes.
+pub struct Subset {
+    site: Subsets,
+    groups: Vec<ServiceGroup>,
+    /// How many fronts the settings name and which is this one: what counts where fronts do not know each other.
+    fleet: Fleet,
+}
+
+/// A plan and what it was worked out from.
+#[derive(Default)]
+struct Made {
+    fronts: BTreeSet<Front>,
+    engines: Vec<Listed>,
+    plan: Plan,
+}
+
+impl Subset {
+    pub fn new(site: Subsets, groups: Vec<ServiceGroup>, fleet: Fleet) -> Subset {
+        Subset { site, groups, fleet }
+    }
+
+    /// This front, and all that live; those that only the settings count are in no zone that is known.
+    fn fronts(&self, state: &State, fronts: Option<&Fronts>) -> (Front, BTreeSet<Front>) {
+        let Some(fronts) = fronts else {
+            let front = |number: usize| Front { number: number as u64, zone: None };
+            return (front(self.fleet.me), (0..self.fleet.fronts.max(1)).map(front).collect());
+        };
+        let zone = |name: &str| state.names.zones.iter().position(|zone| zone == name);
+        let living = fronts.living();
+        let front =
+            |name: &str, zone_name: &str| Front { number: xxh3_64(name.as_bytes()), zone: zone(zone_name) };
+        let me = living.iter().find(|(name, _)| *name == fronts.name()).map(|(name, zone)| front(name, zone));
+        let all = living.iter().map(|(name, zone)| front(name, zone)).collect();
+        (me.unwrap_or(Front { number: xxh3_64(fronts.name().as_bytes()), zone: None }), all)
+    }
+}
+
+/// Looks until the front ends.
+pub fn run(state: &Arc<State>, fronts: Option<&Fronts>, subset: &Subset) {
+    let mut aperture = Aperture::new(subset.site.aperture, state.clock.now());
+    let (mut made, mut used) = (Made::default(), BTreeSet::new());
+    while !state.is_done() {
+        let engines: Vec<Listed> =
+            state.facade.listed_ready().into_iter().map(|(id, told)| Listed { id, told }).collect();
+        let (me, all) = subset.fronts(state, fronts);
+        if all != made.fronts || engines != made.engines {
+            let plan = Plan::make(subset.site.plan, &all, &engines, &needs(&engines, &subset.groups));
+            made = Made { fronts: all, engines, plan };
+        }
+        let now = state.clock.now();
+        if !used.is_empty() {
+            let ready: BTreeSet<u32> = made.engines.iter().map(|x| x.id).collect();
+            let mut sight = Sight { used: used.len(), ..Sight::default() };
+            for id in &used {
+                let (failing, congested) = state.facade.standing(*id).unwrap_or((true, false));
+                sight.bad += usize::from(failing || !ready.contains(id));
+                sight.congested += usize::from(congested);
+            }
+            let planned = made.plan.chosen.get(&me.number).map_or(0, BTreeSet::len);
+            aperture.look(sight, made.engines.len().saturating_sub(planned), now);
+        }
+        let now_used = aperture.used(&made.plan, me, &made.engines);
+        if now_used != used {
+            let ids: Vec<String> = now_used.iter().take(NAMED).map(|id| format!("{id:08x}")).collect();
+            info!(state.log, "subset: {} of {} engines", now_used.len(), made.engines.len(); "ids" => ids.join(" "),
+                "beyond" => aperture.beyond(), "fronts" => made.fronts.len(),
+                "new" => now_used.difference(&used).count(), "left" => used.difference(&now_used).count());
+            used = now_used;
+        }
+        let parts = used.iter().filter_map(|id| Some((*id, made.plan.part(*id)?))).collect();
+        state.facade.use_engines(&used, parts);
+        sleep(subset.site.look);
+    }
+}
+
+/// Where it is on: what the next look works with.
+pub fn start(state: &Arc<State>, fronts: Option<Arc<Fronts>>, subset: Subset) {
+    let state = state.clone();
+    state.facade.narrow();
+    may::go!(move || run(&state, fronts.as_deref(), &subset));
+}
--- a/front/src/timer.rs
+++ b/front/src/timer.rs
@@ -34,6 +34,8 @@
         let until = next_due.map_or(next_tick, |due| due.min(next_tick)).min(now + BEAT);
         let left = state.clock.left(until);
         if !left.is_zero() {
+            // Not led back to the worker, as `clock::park` would: it waits on no socket, and ticks on time however much
+            // there is to run.
             let _ = blocker.park(Some(left));
             let lag = state.clock.now().since(until).micros() / 1000;
             state.counters.rest(|c| c.most_lag_ms = c.most_lag_ms.max(lag));
@@ -62,7 +64,8 @@
 }
 
 fn tick(state: &Arc<State>) {
-    for e in state.facade.tick() {
+    let to_ask = state.facade.tick();
+    for e in to_ask.into_iter().filter(|e| state.is_to_ask(*e)) {
         let state = state.clone();
         may::go!(move || platform::probe(&state, e));
     }
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -612,6 +612,29 @@
     assert!(line.contains("taken=3 returned=2 pushed_back=0 errored=1"), "{line}");
 }
 
+/// Guards against an end by the clock alone: a front that stood still has not heard its sockets yet.
+#[test]
+fn what_came_while_a_stopping_front_stood_still_is_answered() {
+    let slow = engine(Act::Serve(Duration::from_millis(400), pages(&["ok\n"])));
+    for _ in 0..4 {
+        let mut front = Front::start(Some(slow.address));
+        let mut clients: Vec<Client> = (0..4).map(|_| front.client()).collect();
+        front.signal("-TERM");
+        front.log.wait_for("told to stop");
+        let told = Instant::now();
+        front.signal("-STOP");
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.send("look", &fields(&format!("{:016x}", n + 1), "20000"), "").unwrap();
+        }
+        wait_for("the last to have come", || (told.elapsed() > Duration::from_millis(900)).then_some(()));
+        front.signal("-CONT");
+        for client in &mut clients {
+            assert_eq!(client.answer().unwrap().1, rows("ok\n"));
+        }
+        assert!(front.ended().success());
+    }
+}
+
 #[test]
 fn a_killed_front_starts_again_on_its_address() {
     let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
--- a/members/src/members.rs
+++ b/members/src/members.rs
@@ -10,7 +10,7 @@
 use crate::wire::{Letter, Matter, size};
 use larchfall::time::{At, Span};
 use nanorand::{Rng, WyRand};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// What others ask of this front and is not over yet: more than this at a time is passed over.
@@ -113,6 +113,10 @@
     chance: WyRand,
     /// All that are known, this front among them.
     table: BTreeMap<String, Member>,
+    /// Of them those that live: asked for with each letter.
+    lives: usize,
+    /// No ended one is to be forgotten before.
+    forget_from: At,
     suspicions: BTreeMap<String, Suspicion>,
     rumours: Rumours,
     health: Health,
@@ -137,6 +141,8 @@
             settings,
             chance: WyRand::new_seed(seed),
             table: BTreeMap::from([(name.to_owned(), myself)]),
+            lives: 1,
+            forget_from: now,
             suspicions: BTreeMap::new(),
             rumours,
             health: Health::default(),
@@ -182,12 +188,13 @@
     /// What this front sees of the fleet, for a count of it.
     pub fn fleet(&self) -> Fleet {
         let silent = self.table.values().filter(|m| m.claim.standing == Standing::Dead).count();
-        Fleet { live: self.live().count(), silent }
+        Fleet { live: self.lives, silent }
     }
 
     /// Seeds and periods may change while it runs; what is known stays.
     pub fn set(&mut self, settings: Settings) {
         self.settings = settings;
+        self.forget_from = At::default();
     }
 
     pub fn due(&self) -> At {
@@ -228,11 +235,21 @@
             self.next_table = now + self.settings.tables_every;
             self.send_tables(&mut out);
         }
+        self.forget(now);
+        out
+    }
+
+    /// Those that ended long enough ago.
+    fn forget(&mut self, now: At) {
+        if self.lives == self.table.len() || now < self.forget_from {
+            return;
+        }
         let (kept, me) = (self.settings.remembered, &self.me);
         let before = self.table.len();
         self.table.retain(|name, m| name == me || !m.claim.is_final() || now.since(m.since) < kept);
         self.version += u64::from(before != self.table.len());
-        out
+        let next = self.table.values().filter(|m| m.claim.is_final()).map(|m| m.since + kept).min();
+        self.forget_from = next.unwrap_or(now);
     }
 
     /// A letter that came from this address.
@@ -353,12 +370,17 @@
             member.heard = None;
         }
         (member.claim, member.about) = (*claim, about.clone());
+        self.lives -= usize::from(was.is_some_and(|was| !was.is_final()));
+        self.lives += usize::from(!claim.is_final());
+        if claim.is_final() {
+            self.forget_from = self.forget_from.min(now + self.settings.remembered);
+        }
         self.version += 1;
         self.rumours.add(name);
         if claim.standing == Standing::Suspected {
             let by = by.clone().unwrap_or_default();
-            let (live, period) = (self.live().count(), self.health.stretch(self.settings.period));
-            self.suspicions.insert(name.clone(), Suspicion::new(by, live, period, now));
+            let period = self.health.stretch(self.settings.period);
+            self.suspicions.insert(name.clone(), Suspicion::new(by, self.lives, period, now));
         } else {
             self.suspicions.remove(name);
         }
@@ -479,7 +501,7 @@
 
     /// To one that lives, and to one that seemed dead or is only known by its address.
     fn send_tables(&mut self, out: &mut Out) {
-        let known: Vec<SocketAddrV4> = self.live().map(|(_, m)| m.about.address).collect();
+        let known: BTreeSet<SocketAddrV4> = self.live().map(|(_, m)| m.about.address).collect();
         let ended = self.table.values().filter(|m| m.claim.standing == Standing::Dead);
         let mut away: Vec<SocketAddrV4> = ended.map(|m| m.about.address).collect();
         away.extend(self.settings.seeds.iter().copied());
@@ -495,11 +517,13 @@
 
     /// Some others that live, by chance.
     fn some(&mut self, most: usize, but: &str) -> Vec<String> {
-        let others = self.live().map(|(n, _)| n.clone()).filter(|n| *n != self.me && n != but);
-        let mut others: Vec<String> = others.collect();
-        self.chance.shuffle(&mut others);
-        others.truncate(most);
-        others
+        let lives = |(name, m): &(&String, &Member)| !m.claim.is_final() && **name != self.me && *name != but;
+        let mut others: Vec<&String> = self.table.iter().filter(lives).map(|(name, _)| name).collect();
+        let mut some = Vec::new();
+        while some.len() < most && !others.is_empty() {
+            some.push(others.swap_remove(self.chance.generate_range(0..others.len())).clone());
+        }
+        some
     }
 
     fn rumour(&self, name: &str) -> Option<Rumour> {
@@ -526,7 +550,7 @@
             room = room.saturating_sub(size(&rumour));
             letter.rumours.push(rumour);
         }
-        let live = self.live().count();
+        let live = self.lives;
         let (table, me, suspicions) = (&self.table, &self.me, &self.suspicions);
         let rumours = &mut letter.rumours;
         self.rumours.next(live, |told| {
--- /dev/null
+++ b/rig/examples/leases.rs
@@ -0,0 +1,58 @@
+//! How long nobody holds a duty when its holder falls out, and what duties cost between fronts, in one process by seed:
+//! cargo run --release -p larchfall-rig --example leases
+
+use hdrhistogram::Histogram;
+use larchfall_rig::duties::{Fleet, ms, settings};
+use nanorand::Rng;
+
+const TIMES: u64 = 200;
+
+fn main() {
+    println!(
+        "| fronts | what happens to the holder | nobody holds it, ms (p50, p99, most) | not found again in 20 s | wrong |"
+    );
+    println!("| --- | --- | --- | --- | --- |");
+    for n in [5, 12, 24] {
+        for what in ["killed", "stopped", "cut off", "leaves"] {
+            falls(n, what);
+        }
+    }
+    println!("\n| fronts | duties | letters a front and second |\n| --- | --- | --- |");
+    for n in [5, 24, 100] {
+        for duties in [1, 10, 100] {
+            let mut fleet = Fleet::start(n, settings(5, duties, true), 7);
+            fleet.acts = ms(500);
+            fleet.run(ms(20_000));
+            let before = fleet.letters;
+            fleet.run(ms(10_000));
+            println!("| {n} | {duties} | {:.1} |", (fleet.letters - before) as f64 / 10.0 / n as f64);
+        }
+    }
+}
+
+fn falls(n: usize, what: &str) {
+    let mut gaps = Histogram::<u64>::new(3).expect("bounds that it knows");
+    let (mut lost, mut wrong) = (0, 0);
+    for seed in 0..TIMES {
+        let mut fleet = Fleet::start(n, settings(5, 1, true), seed);
+        fleet.until(ms(20_000), Fleet::all_held);
+        let span = ms(fleet.chance().generate_range(6_000..9_000));
+        fleet.run(span);
+        let Some(holder) = fleet.holders("duty:000").first().copied() else { continue };
+        fleet.gaps.clear();
+        match what {
+            "killed" => fleet.kill(holder),
+            "stopped" => fleet.stop(holder, ms(30_000)),
+            "cut off" => fleet.link = Box::new(move |a, b| (a == holder) == (b == holder)),
+            _ => fleet.leave(holder),
+        }
+        let other = |f: &Fleet| f.holders("duty:000").iter().any(|i| *i != holder);
+        lost += usize::from(fleet.until(ms(20_000), other).is_none());
+        fleet.run(ms(15_000));
+        let gap = fleet.gaps.iter().max().map_or(0, |gap| gap.micros() / 1000);
+        gaps.record(gap).expect("within bounds");
+        wrong += fleet.wrong.len();
+    }
+    let at = |q| gaps.value_at_quantile(q);
+    println!("| {n} | {what} | {}, {}, {} | {lost} | {wrong} |", at(0.5), at(0.99), gaps.max());
+}
--- /dev/null
+++ b/rig/src/bin/larchfall-faulty.rs
@@ -0,0 +1,72 @@
+//! The front's own library with a clock and a disk that can be told to be wrong, for tests alone: the shipped program has
+//! no way to. `FAULTY_CLOCK` is how many times as fast the steady clock runs, `FAULTY_WALL` a file that says by how many
+//! seconds the Unix clock is off just now, `FAULTY_DISK` one that says, at each step, what the disk does: nothing (it is sound), `full`, `read-only`, `lies`, `slow MS`, or `dies N` (the process ends at step N).
+
+use larchfall::time::{At, Span};
+use larchfall_duty::record::Disk;
+use larchfall_front::run::command::main_on;
+use larchfall_front::run::parts::{Folder, Parts, boot_time, unix_time};
+use std::io::{self, ErrorKind};
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+struct Faulty {
+    folder: Folder,
+    steps: usize,
+}
+
+impl Faulty {
+    /// Whether this step is to be done at all; an error where it is refused.
+    fn step(&mut self) -> io::Result<bool> {
+        self.steps += 1;
+        let does = std::env::var("FAULTY_DISK").ok().and_then(|file| std::fs::read_to_string(file).ok());
+        let does = does.unwrap_or_default();
+        let mut words = does.split_whitespace();
+        let number = |word: Option<&str>| word.and_then(|w| w.parse::<u64>().ok()).unwrap_or_default();
+        match words.next() {
+            Some("full") => Err(ErrorKind::StorageFull.into()),
+            Some("read-only") => Err(ErrorKind::ReadOnlyFilesystem.into()),
+            Some("lies") => Ok(false),
+            Some("slow") => {
+                std::thread::sleep(Duration::from_millis(number(words.next())));
+                Ok(true)
+            }
+            Some("dies") if self.steps as u64 >= number(words.next()) => std::process::abort(),
+            _ => Ok(true),
+        }
+    }
+}
+
+impl Disk for Faulty {
+    fn read(&mut self, file: &str) -> io::Result<Option<Vec<u8>>> {
+        self.folder.read(file)
+    }
+    fn write(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
+        if self.step()? { self.folder.write(file, bytes) } else { Ok(()) }
+    }
+    fn sync(&mut self, file: &str) -> io::Result<()> {
+        if self.step()? { self.folder.sync(file) } else { Ok(()) }
+    }
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        if self.step()? { self.folder.rename(from, to) } else { Ok(()) }
+    }
+    fn sync_folder(&mut self) -> io::Result<()> {
+        if self.step()? { self.folder.sync_folder() } else { Ok(()) }
+    }
+}
+
+fn main() -> ExitCode {
+    let rate: f64 = std::env::var("FAULTY_CLOCK").ok().and_then(|rate| rate.parse().ok()).unwrap_or(1.0);
+    let clock = move || At::from_micros((boot_time().micros() as f64 * rate) as u64);
+    let wall = || {
+        let file = std::env::var("FAULTY_WALL").ok();
+        let off = file.and_then(|file| std::fs::read_to_string(file).ok()?.trim().parse::<i64>().ok());
+        let now = unix_time().micros().saturating_add_signed(off.unwrap_or_default() * 1_000_000);
+        Span::from_micros(now)
+    };
+    let disk =
+        |folder: &Path| -> Box<dyn Disk> { Box::new(Faulty { folder: Folder(folder.to_owned()), steps: 0 }) };
+    main_on(Parts { clock: Arc::new(clock), wall: Arc::new(wall), disk })
+}
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use larchfall::time::{At, Span};
 use larchfall_members::claim::{About, Standing};
-use larchfall_members::members::{Change, Members, Reason, Settings};
+use larchfall_members::members::{Change, Member, Members, Reason, Settings};
 use larchfall_members::wire::Letter;
 use nanorand::{Rng, WyRand};
 use std::cmp::Reverse;
@@ -61,6 +61,7 @@
 pub struct Fleet {
     pub now: At,
     pub nodes: Vec<Node>,
+    /// Of fronts that are down, and deaths: under loss all are suspected and refute it all the time.
     pub sights: Vec<Sight>,
     pub loss: f64,
     /// Whether letters from the one reach the other.
@@ -157,7 +158,10 @@
                 }
             };
             for change in out.changes {
-                self.sights.push(Sight { at, by: i, change });
+                let of = change.name[1..].parse::<usize>().ok().and_then(|of| self.nodes.get(of));
+                if change.to == Standing::Dead || of.is_some_and(|node| !node.up) {
+                    self.sights.push(Sight { at, by: i, change });
+                }
             }
             for (to, letter) in out.letters {
                 let bytes = letter.seal();
@@ -198,10 +202,12 @@
 
     /// All that are up hold exactly those for alive.
     pub fn agrees(&self) -> bool {
-        let up = |i: &usize| self.nodes[*i].up;
-        let right = |by: usize, of: usize| (self.held(by, of) == Some(Standing::Alive)) == self.nodes[of].up;
-        let all = || 0..self.nodes.len();
-        all().filter(up).all(|by| all().all(|of| right(by, of)))
+        let names: Vec<(String, bool)> = (0..self.nodes.len()).map(|i| (name(i), self.nodes[i].up)).collect();
+        let alive = |m: &Member| m.claim.standing == Standing::Alive;
+        self.nodes.iter().filter(|by| by.up).all(|by| {
+            let table = by.members.table();
+            names.iter().all(|(name, up)| table.get(name).is_some_and(alive) == *up)
+        })
     }
 
     /// How often a front that was up was held for dead.
@@ -210,7 +216,7 @@
         self.sights
             .iter()
             .filter(unrefuted)
-            .filter(|s| (0..self.nodes.len()).any(|i| name(i) == s.change.name && self.nodes[i].up))
+            .filter(|s| s.change.name[1..].parse::<usize>().is_ok_and(|i| self.nodes[i].up))
             .count()
     }
 }
--- /dev/null
+++ b/rig/src/script.rs
@@ -0,0 +1,438 @@
+//! What happens to a fleet, and when: drawn by a seed, kept as text, played again from it. A run leaves its script, each
+//! front's log and one time line of all of them, so that a failure names its seed and what came before it.
+
+use crate::net::{Link, SOUND};
+use crate::process::{Fleet, name};
+use crate::relay::{Relays, Way};
+use nanorand::{Rng, WyRand};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Step {
+    /// Killed, and another process under its name.
+    Restart {
+        front: usize,
+    },
+    Stop {
+        front: usize,
+    },
+    Wake {
+        front: usize,
+    },
+    /// Told to end, and another process under its name.
+    Replace {
+        front: usize,
+    },
+    /// From and to all other fronts nothing passes.
+    CutOff {
+        front: usize,
+    },
+    OneWay {
+        from: usize,
+        to: usize,
+    },
+    /// So many islands.
+    Islands {
+        number: usize,
+    },
+    Worse {
+        loses: f64,
+        doubles: f64,
+        delays_ms: u64,
+    },
+    /// Between fronts all is sound again.
+    Heal,
+    EngineCut {
+        front: usize,
+        engine: usize,
+    },
+    EngineStalls {
+        front: usize,
+        engine: usize,
+    },
+    EngineSlow {
+        front: usize,
+        engine: usize,
+        ms: u64,
+    },
+    /// To engines all is sound again.
+    EnginesHeal,
+    /// Between a front and its notice board.
+    BoardCut {
+        front: usize,
+    },
+    BoardStalls {
+        front: usize,
+    },
+    BoardsHeal,
+    /// Clients keep so many times as much open as before.
+    Load {
+        times: u32,
+    },
+    /// A front's Unix clock is off by so many seconds.
+    Clock {
+        front: usize,
+        seconds: i64,
+    },
+    /// What a front's disk does from now on.
+    Disk {
+        front: usize,
+        does: Does,
+    },
+    /// The operator's file of a front is spoilt, or as it was, and the front is told to read it again.
+    Spoil {
+        front: usize,
+    },
+    Mend {
+        front: usize,
+    },
+}
+
+/// As `larchfall-faulty` reads it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Does {
+    Sound,
+    Full,
+    ReadOnly,
+    Lies,
+    Slow,
+}
+
+impl Does {
+    pub fn word(self) -> &'static str {
+        match self {
+            Does::Sound => "",
+            Does::Full => "full",
+            Does::ReadOnly => "read-only",
+            Does::Lies => "lies",
+            Does::Slow => "slow 400",
+        }
+    }
+}
+
+/// What may happen, in the order in which it is drawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    Restart,
+    Stop,
+    Replace,
+    CutOff,
+    OneWay,
+    Islands,
+    Worse,
+    EngineCut,
+    EngineStalls,
+    EngineSlow,
+    EnginesHeal,
+    BoardCut,
+    BoardStalls,
+    BoardsHeal,
+    Heal,
+    Surge,
+    Clock,
+    Disk,
+    Reload,
+}
+
+/// How likely each of them is beside the others.
+pub type Kinds = BTreeMap<Kind, u32>;
+
+/// All that needs neither a clock nor a disk that can be told to be wrong, nor load that can.
+pub fn plain_kinds() -> Kinds {
+    use Kind::*;
+    let once = [Restart, Replace, CutOff, OneWay, Islands, Worse, EngineCut, EngineStalls, EngineSlow];
+    let more = [EnginesHeal, BoardCut, BoardStalls, BoardsHeal, Heal];
+    once.into_iter().chain(more).map(|kind| (kind, 1)).chain([(Stop, 2)]).collect()
+}
+
+fn drawn(kinds: &Kinds, chance: &mut WyRand) -> Option<Kind> {
+    let all: u32 = kinds.values().sum();
+    let mut left = (all > 0).then(|| chance.generate_range(0..all))?;
+    kinds
+        .iter()
+        .find(|(_, weight)| {
+            let here = left < **weight;
+            left = left.saturating_sub(**weight);
+            here
+        })
+        .map(|(kind, _)| *kind)
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Timed {
+    /// From the start of the script.
+    pub at_ms: u64,
+    pub step: Step,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Script {
+    pub seed: u64,
+    pub steps: Vec<Timed>,
+}
+
+impl Script {
+    /// A step every `every` in the mean; who is stopped wakes, and what is broken heals by the end.
+    pub fn draw(
+        seed: u64,
+        (fronts, engines): (usize, usize),
+        (length, every): (Duration, Duration),
+        kinds: &Kinds,
+    ) -> Script {
+        let mut chance = WyRand::new_seed(seed);
+        let (length, every) = (length.as_millis() as u64, every.as_millis() as u64);
+        let (mut at, mut steps) = (0, Vec::new());
+        loop {
+            at += chance.generate_range(every / 2..=every * 3 / 2);
+            if at >= length {
+                break;
+            }
+            let (front, to) = (chance.generate_range(0..fronts), chance.generate_range(0..fronts));
+            let engine = chance.generate_range(0..engines.max(1));
+            let Some(kind) = drawn(kinds, &mut chance) else { break };
+            let mut ends = |least: u64, most: u64, step| {
+                let at_ms = (at + chance.generate_range(least..most)).min(length);
+                steps.push(Timed { at_ms, step });
+            };
+            let step = match kind {
+                Kind::Restart => Step::Restart { front },
+                Kind::Stop => {
+                    ends(100, 1_500, Step::Wake { front });
+                    Step::Stop { front }
+                }
+                Kind::Replace => Step::Replace { front },
+                Kind::CutOff => Step::CutOff { front },
+                Kind::OneWay => Step::OneWay { from: front, to },
+                Kind::Islands => Step::Islands { number: chance.generate_range(2..=3) },
+                Kind::Worse => Step::Worse { loses: 0.4, doubles: 0.3, delays_ms: 300 },
+                Kind::EngineCut => Step::EngineCut { front, engine },
+                Kind::EngineStalls => {
+                    // What was on its way comes in late. Fronts count on that being within 8 s (docs/front.md).
+                    ends(500, 4_000, Step::EnginesHeal);
+                    Step::EngineStalls { front, engine }
+                }
+                Kind::EngineSlow => Step::EngineSlow { front, engine, ms: 40 },
+                Kind::EnginesHeal => Step::EnginesHeal,
+                Kind::BoardCut => Step::BoardCut { front },
+                Kind::BoardStalls => Step::BoardStalls { front },
+                Kind::BoardsHeal => Step::BoardsHeal,
+                Kind::Heal => Step::Heal,
+                Kind::Surge => {
+                    ends(500, 3_000, Step::Load { times: 1 });
+                    Step::Load { times: chance.generate_range(2..=4) }
+                }
+                Kind::Clock => {
+                    ends(500, 4_000, Step::Clock { front, seconds: 0 });
+                    Step::Clock { front, seconds: [-86_400, -5, 3, 3_600][chance.generate_range(0..4_usize)] }
+                }
+                Kind::Disk => {
+                    ends(500, 4_000, Step::Disk { front, does: Does::Sound });
+                    let does = [Does::Full, Does::ReadOnly, Does::Lies, Does::Slow];
+                    Step::Disk { front, does: does[chance.generate_range(0..does.len())] }
+                }
+                Kind::Reload => {
+                    ends(200, 1_500, Step::Mend { front });
+                    Step::Spoil { front }
+                }
+            };
+            steps.push(Timed { at_ms: at, step });
+        }
+        let heals = [Step::Heal, Step::EnginesHeal, Step::BoardsHeal];
+        steps.extend(heals.map(|step| Timed { at_ms: length, step }));
+        steps.sort_by_key(|timed| timed.at_ms);
+        Script { seed, steps }
+    }
+
+    pub fn text(&self) -> String {
+        toml::to_string(self).unwrap_or_default()
+    }
+
+    pub fn read(text: &str) -> Result<Script, String> {
+        toml::from_str(text).map_err(|e| e.to_string())
+    }
+}
+
+/// What was done, and when.
+pub type Done = Vec<(Instant, Step)>;
+
+/// By front: from when till when its notice board could not be heard. A new process of it hears its own at once; the one
+/// that it takes the place of may take seconds to end, and hears nothing until the next step at the latest.
+pub fn unheard(done: &Done) -> Vec<(usize, Instant, Instant)> {
+    let (mut open, mut spans): (BTreeMap<usize, Instant>, Vec<_>) = (BTreeMap::new(), Vec::new());
+    for (n, (at, step)) in done.iter().enumerate() {
+        let next = done.get(n + 1).map_or(*at, |(next, _)| *next);
+        let until = if matches!(step, Step::Restart { .. } | Step::Replace { .. }) { next } else { *at };
+        let heard: Vec<usize> = match step {
+            Step::BoardCut { front } | Step::BoardStalls { front } => {
+                open.entry(*front).or_insert(*at);
+                continue;
+            }
+            Step::Restart { front } | Step::Replace { front } => vec![*front],
+            Step::BoardsHeal => open.keys().copied().collect(),
+            _ => continue,
+        };
+        spans.extend(heard.into_iter().filter_map(|f| open.remove(&f).map(|from| (f, from, until))));
+    }
+    spans
+}
+
+/// By front and engine: from when till when the way between them stood still.
+pub fn stood(done: &Done) -> Vec<(usize, usize, Instant, Instant)> {
+    let (mut open, mut spans): (BTreeMap<(usize, usize), Instant>, Vec<_>) = (BTreeMap::new(), Vec::new());
+    for (at, step) in done {
+        let over: Vec<(usize, usize)> = match step {
+            Step::EngineStalls { front, engine } => {
+                open.entry((*front, *engine)).or_insert(*at);
+                continue;
+            }
+            // What comes now is cut; or it is late by less than this looks at.
+            Step::EngineCut { front, engine } | Step::EngineSlow { front, engine, .. } => {
+                vec![(*front, *engine)]
+            }
+            Step::EnginesHeal => open.keys().copied().collect(),
+            _ => continue,
+        };
+        spans.extend(
+            over.into_iter().filter_map(|way| open.remove(&way).map(|from| (way.0, way.1, from, *at))),
+        );
+    }
+    spans
+}
+
+/// What a script changes beside the fleet and its net.
+pub struct Ground<'a> {
+    pub relays: &'a Relays,
+    /// Clients keep so many times as much open as they are set to.
+    pub load: &'a AtomicU32,
+    pub folder: &'a Folder,
+}
+
+/// Files of each front of a fleet: its records, how far off its clock is, what its disk does.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn new(path: &Path, fronts: usize) -> io::Result<Folder> {
+        (0..fronts).try_for_each(|i| std::fs::create_dir_all(path.join(name(i))))?;
+        Ok(Folder(path.to_owned()))
+    }
+
+    pub fn record(&self, i: usize) -> PathBuf {
+        self.0.join(name(i))
+    }
+
+    /// What stands in the environment of a front so that it reads the others.
+    pub fn put(&self, i: usize) -> Vec<(&'static str, String)> {
+        let file = |what: &str| self.file(i, what).display().to_string();
+        vec![("FAULTY_WALL", file("off")), ("FAULTY_DISK", file("does"))]
+    }
+
+    fn file(&self, i: usize, what: &str) -> PathBuf {
+        self.0.join(format!("{}.{what}", name(i)))
+    }
+
+    fn say(&self, i: usize, what: &str, text: &str) {
+        // Whole or not at all: it is read at any moment.
+        let (new, file) = (self.file(i, "new"), self.file(i, what));
+        let _ = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &file));
+    }
+}
+
+/// Plays it to its end. `begun` hears of each process that takes the place of another, before anything else is done.
+pub fn play(
+    script: &Script,
+    fleet: &mut Fleet,
+    ground: &Ground<'_>,
+    mut begun: impl FnMut(&Fleet, usize),
+) -> Done {
+    let (from, mut done) = (Instant::now(), Done::new());
+    let (relays, folder) = (ground.relays, ground.folder);
+    // Files as they were, by the process that has them.
+    let mut spoilt: BTreeMap<PathBuf, String> = BTreeMap::new();
+    for Timed { at_ms, step } in &script.steps {
+        thread::sleep((from + Duration::from_millis(*at_ms)).saturating_duration_since(Instant::now()));
+        done.push((Instant::now(), step.clone()));
+        let cut = Link { cut: true, ..SOUND };
+        match *step {
+            Step::Restart { front } => {
+                fleet.begin(front);
+                begun(fleet, front);
+            }
+            Step::Replace { front } => {
+                // One that stands still hears no signal but the last.
+                fleet.front(front).signal("-CONT");
+                fleet.front(front).signal("-TERM");
+                if let Some(ends) = &mut fleet.fronts[front] {
+                    ends.ended();
+                }
+                fleet.begin(front);
+                begun(fleet, front);
+            }
+            Step::Stop { front } => fleet.front(front).signal("-STOP"),
+            Step::Wake { front } => fleet.front(front).signal("-CONT"),
+            Step::CutOff { front } => fleet.net.set(|a, b| (a == front) != (b == front), cut),
+            Step::OneWay { from, to } => fleet.net.set(|a, b| (a, b) == (from, to), cut),
+            Step::Islands { number } => fleet.net.set(|a, b| a % number != b % number, cut),
+            Step::Worse { loses, doubles, delays_ms } => {
+                let worse = Link { loses, doubles, delays: Duration::from_millis(delays_ms), ..SOUND };
+                fleet.net.set(|_, _| true, worse);
+            }
+            Step::Heal => fleet.net.heal(),
+            Step::EngineCut { front, engine } => relays.set(|f, e| (f, e) == (front, engine), Way::Cut),
+            Step::EngineStalls { front, engine } => relays.set(|f, e| (f, e) == (front, engine), Way::Stalls),
+            Step::EngineSlow { front, engine, ms } => {
+                relays.set(|f, e| (f, e) == (front, engine), Way::Slow(Duration::from_millis(ms)));
+            }
+            Step::EnginesHeal => relays.set(|_, _| true, Way::Sound),
+            Step::BoardCut { front } => fleet.board_way(front, Way::Cut),
+            Step::BoardStalls { front } => fleet.board_way(front, Way::Stalls),
+            Step::BoardsHeal => fleet.up().for_each(|i| fleet.board_way(i, Way::Sound)),
+            Step::Load { times } => ground.load.store(times, Ordering::Relaxed),
+            Step::Clock { front, seconds } => folder.say(front, "off", &seconds.to_string()),
+            Step::Disk { front, does } => folder.say(front, "does", does.word()),
+            Step::Spoil { front } => {
+                let front = fleet.front(front);
+                if let Ok(text) = std::fs::read_to_string(&front.site_file) {
+                    spoilt.entry(front.site_file.clone()).or_insert(text);
+                    front.reload_site("[fronts]\nname = ");
+                }
+            }
+            Step::Mend { front } => {
+                let front = fleet.front(front);
+                if let Some(text) = spoilt.remove(&front.site_file) {
+                    front.reload_site(&text);
+                }
+            }
+        }
+    }
+    done
+}
+
+/// Leaves script, logs and time line in a folder.
+pub fn leave(folder: &Path, script: &Script, fleet: &Fleet, done: &Done) -> io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    std::fs::write(folder.join("script.toml"), script.text())?;
+    let mut all: Vec<(Instant, String)> =
+        done.iter().map(|(at, step)| (*at, format!("rig: {step:?}"))).collect();
+    for (n, (name, log)) in fleet.logs.iter().enumerate() {
+        let lines = log.lines();
+        let text: Vec<&str> = lines.iter().map(|(_, line)| line.as_str()).collect();
+        std::fs::write(folder.join(format!("{n:03}-{name}.log")), text.join("\n"))?;
+        all.extend(lines.into_iter().map(|(at, line)| (at, format!("{name}: {line}"))));
+    }
+    all.sort();
+    let first = all.first().map(|(at, _)| *at);
+    let line = |(at, what): &(Instant, String)| {
+        let since = first.map_or(Duration::ZERO, |first| at.saturating_duration_since(first));
+        format!("{:9.3} {what}\n", since.as_secs_f64())
+    };
+    std::fs::write(folder.join("timeline.txt"), all.iter().map(line).collect::<String>())
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -102,13 +102,7 @@
 
 /// What one front is handed at its start, part by part.
 pub struct Settings {
-    pub fleet: Fleet,
-    pub groups: Vec<ServiceGroup>,
-    pub customers: Vec<Customer>,
-    pub caps: Caps,
-    pub cold: ColdRule,
-    pub ration: Option<RationRule>,
-    pub key_quiet: Span,
+    pub given: Given,
     pub tells_work: bool,
     pub report_fields: Vec<String>,
     pub must_ask: bool,
@@ -166,7 +160,7 @@
     let kinds = raw.models.len().max(raw.domain.size_cores.len());
     let size = |v: &[f64], i: usize| v.get(i).copied().unwrap_or(0.0);
     let s = &raw.safety;
-    Ok(Settings {
+    let given = Given {
         fleet: Fleet {
             fronts: raw.instances,
             me: raw.me,
@@ -206,6 +200,9 @@
             per_batch: s.extra_per_request.unwrap_or(0.0),
         }),
         key_quiet: us(s.key_quiet),
+    };
+    Ok(Settings {
+        given,
         tells_work: raw.domain.cost_in_answers,
         report_fields: raw.stats.fields,
         must_ask: raw.discovery == "subscribe",
--- a/site/src/lib.rs
+++ b/site/src/lib.rs
@@ -2,6 +2,12 @@
 //! or not at all; what it does not name is off. Faults are said with the line and the field.
 
 use larchfall::time::Span;
+use larchfall_duty::bid::Terms;
+use larchfall_duty::duties::Settings as DutySettings;
+use larchfall_duty::elector::Bounds;
+use larchfall_duty::fitness::Lines;
+use larchfall_duty::probing;
+use larchfall_duty::quorum::Electors;
 use larchfall_members::claim::LONGEST;
 use larchfall_members::count::Settings as Count;
 use larchfall_members::members::Settings as Members;
@@ -9,14 +15,86 @@
 use larchfall_rest::results::Caps;
 use larchfall_rest::words::{Family, Source, Sources};
 use larchfall_settings::Names;
+use larchfall_signals::weigh;
+use larchfall_subsets::{aperture, plan};
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
+use std::path::PathBuf;
 use toml::Spanned;
 
+/// An elector passes over more duties than this.
+const MOST_DUTIES: usize = 10_000;
+/// Of the whole scale by which duties are spread, so much another must be better to take one over.
+const BETTER: f64 = 0.1;
+
 #[derive(Clone, Debug, Default)]
 pub struct Site {
     pub rest: Option<Rest>,
     pub fronts: Option<Fronts>,
+    pub duties: Option<Duties>,
+    pub subsets: Option<Subsets>,
+    pub signals: Option<Signals>,
+}
+
+/// What fronts tell each other of engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Signals {
+    /// So often, to so many others.
+    pub every: Span,
+    pub fanout: usize,
+    pub weigh: weigh::Settings,
+    /// One try of an engine that was left out in each such time, by one front; absent: each by itself.
+    pub turn: Option<Span>,
+}
+
+/// Which engines a front uses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Subsets {
+    pub plan: plan::Settings,
+    pub aperture: aperture::Settings,
+    /// Looked at so often.
+    pub look: Span,
+}
+
+/// What one front of them does at a time.
+#[derive(Clone, Debug)]
+pub struct Duties {
+    pub settings: DutySettings,
+    /// A folder for what an elector remembers; none: it remembers nothing over a restart.
+    pub record: Option<PathBuf>,
+    /// Below which a front holds no duty.
+    pub lines: Lines,
+    pub probing: Option<probing::Settings>,
+    pub keepers: Option<Keepers>,
+    pub programs: Vec<Program>,
+}
+
+/// Who hands out shares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Keepers {
+    /// How many duties share the capacities.
+    pub keepers: usize,
+    /// How long a share lasts.
+    pub length: Span,
+    pub kinds: Kinds,
+}
+
+/// What is handed out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Kinds {
+    pub cold: bool,
+    pub threads: bool,
+    pub customers: bool,
+}
+
+/// A program of the operator's that runs while this front holds its duty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Program {
+    pub duty: String,
+    pub command: Vec<String>,
+    /// It is told to end so long before it is killed, and killed before the lease is over.
+    pub end: Span,
 }
 
 /// The fronts among themselves.
@@ -56,6 +134,120 @@
 struct Raw {
     rest: Option<RawRest>,
     fronts: Option<RawFronts>,
+    duties: Option<RawDuties>,
+    subsets: Option<RawSubsets>,
+    signals: Option<Spanned<RawSignals>>,
+    #[serde(default)]
+    duty: Vec<RawProgram>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct RawSubsets {
+    least: Spanned<usize>,
+    #[serde(default = "slack")]
+    slack: Spanned<usize>,
+    #[serde(default = "grows_ms")]
+    grows_ms: Spanned<u64>,
+    #[serde(default = "shrinks_ms")]
+    shrinks_ms: Spanned<u64>,
+    #[serde(default = "look_ms")]
+    look_ms: Spanned<u64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct RawSignals {
+    #[serde(default = "every_ms")]
+    every_ms: Spanned<u64>,
+    #[serde(default = "fanout")]
+    fanout: Spanned<usize>,
+    #[serde(default = "window_ms")]
+    window_ms: Spanned<u64>,
+    #[serde(default = "lasts_ms")]
+    lasts_ms: Spanned<u64>,
+    turn_ms: Option<Spanned<u64>>,
+}
+
+fn every_ms() -> Spanned<u64> {
+    unsaid(250)
+}
+fn fanout() -> Spanned<usize> {
+    unsaid(8)
+}
+fn window_ms() -> Spanned<u64> {
+    unsaid(10_000)
+}
+fn lasts_ms() -> Spanned<u64> {
+    unsaid(4_000)
+}
+
+fn slack() -> Spanned<usize> {
+    unsaid(250)
+}
+fn grows_ms() -> Spanned<u64> {
+    unsaid(1_000)
+}
+fn shrinks_ms() -> Spanned<u64> {
+    unsaid(10_000)
+}
+fn look_ms() -> Spanned<u64> {
+    unsaid(500)
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct RawDuties {
+    electors: Spanned<Vec<Spanned<String>>>,
+    #[serde(default)]
+    electors_before: Option<Spanned<Vec<Spanned<String>>>>,
+    #[serde(default = "lease_ms")]
+    lease_ms: Spanned<u64>,
+    #[serde(default = "longest_ms")]
+    longest_ms: Spanned<u64>,
+    #[serde(default = "margin")]
+    margin: Spanned<usize>,
+    #[serde(default = "least_ms")]
+    least_ms: Spanned<u64>,
+    #[serde(default)]
+    record: Option<PathBuf>,
+    #[serde(default)]
+    stale_ms: Option<Spanned<u64>>,
+    #[serde(default)]
+    ill: Option<Spanned<usize>>,
+    #[serde(default)]
+    probing: Option<Spanned<usize>>,
+    #[serde(default)]
+    keepers: Option<Spanned<usize>>,
+    #[serde(default = "share_ms")]
+    share_ms: Spanned<u64>,
+    #[serde(default = "only_cold")]
+    hand_out: Vec<RawKind>,
+    #[serde(default = "probe_ms")]
+    probe_ms: Spanned<u64>,
+    #[serde(default = "fresh_ms")]
+    fresh_ms: Spanned<u64>,
+}
+
+#[derive(Clone, Copy, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum RawKind {
+    Cold,
+    Threads,
+    Customers,
+}
+
+fn only_cold() -> Vec<RawKind> {
+    vec![RawKind::Cold]
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct RawProgram {
+    name: Spanned<String>,
+    command: Spanned<Vec<String>>,
+    #[serde(default = "end_ms")]
+    end_ms: Spanned<u64>,
 }
 
 #[derive(Deserialize)]
@@ -149,6 +341,30 @@
 fn most() -> Spanned<usize> {
     unsaid(1_024)
 }
+fn lease_ms() -> Spanned<u64> {
+    unsaid(3_000)
+}
+fn longest_ms() -> Spanned<u64> {
+    unsaid(10_000)
+}
+fn margin() -> Spanned<usize> {
+    unsaid(60)
+}
+fn least_ms() -> Spanned<u64> {
+    unsaid(30_000)
+}
+fn share_ms() -> Spanned<u64> {
+    unsaid(1_000)
+}
+fn probe_ms() -> Spanned<u64> {
+    unsaid(500)
+}
+fn fresh_ms() -> Spanned<u64> {
+    unsaid(1_500)
+}
+fn end_ms() -> Spanned<u64> {
+    unsaid(300)
+}
 fn connections() -> Spanned<usize> {
     unsaid(32)
 }
@@ -189,7 +405,15 @@
         format!("{at}{}", e.message())
     })?;
     let fronts = raw.fronts.map(|raw| fronts(text, raw)).transpose()?;
-    Ok(Site { rest: raw.rest.map(|raw| rest(text, raw, names)).transpose()?, fronts })
+    let duties =
+        raw.duties.map(|raw_duties| duties(text, raw_duties, &raw.duty, fronts.as_ref())).transpose()?;
+    if let (None, Some(first)) = (&duties, raw.duty.first()) {
+        return Err(format!("line {}: duty: needs a [duties] table", line(text, first.name.span().start)));
+    }
+    let subsets = raw.subsets.map(|raw| subsets(text, &raw)).transpose()?;
+    let signals = raw.signals.map(|raw| signals(text, &raw, fronts.as_ref())).transpose()?;
+    let rest = raw.rest.map(|raw| rest(text, raw, names)).transpose()?;
+    Ok(Site { rest, fronts, duties, subsets, signals })
 }
 
 fn line(text: &str, at: usize) -> usize {
@@ -278,6 +502,108 @@
     })
 }
 
+fn signals(text: &str, raw: &Spanned<RawSignals>, fronts: Option<&Fronts>) -> Result<Signals, String> {
+    let (table, at, raw) = (Table { text, name: "signals" }, raw.span().start, raw.get_ref());
+    fronts.ok_or_else(|| table.fault(at, "every-ms", "needs a [fronts] table"))?;
+    let every = table.time(&raw.every_ms, "every-ms", 20, 60_000)?;
+    let fanout = table.number(&raw.fanout, "fanout", 1, 64)?;
+    let window = table.time(&raw.window_ms, "window-ms", 100, 600_000)?;
+    let lasts = table.time(&raw.lasts_ms, "lasts-ms", 100, 600_000)?;
+    let turn = raw.turn_ms.as_ref().map(|n| table.time(n, "turn-ms", 100, 600_000)).transpose()?;
+    Ok(Signals { every, fanout, weigh: weigh::Settings { window, lasts }, turn })
+}
+
+fn subsets(text: &str, raw: &RawSubsets) -> Result<Subsets, String> {
+    let table = Table { text, name: "subsets" };
+    let least = table.number(&raw.least, "least", 1, 1024)?;
+    let slack = table.number(&raw.slack, "slack", 0, 1000)? as f64 / 1000.0;
+    let grows = table.time(&raw.grows_ms, "grows-ms", 10, 600_000)?;
+    let shrinks = table.time(&raw.shrinks_ms, "shrinks-ms", 10, 3_600_000)?;
+    let look = table.time(&raw.look_ms, "look-ms", 10, 60_000)?;
+    Ok(Subsets {
+        plan: plan::Settings { least, slack },
+        aperture: aperture::Settings { grows, shrinks },
+        look,
+    })
+}
+
+fn duties(
+    text: &str,
+    raw: RawDuties,
+    programs: &[RawProgram],
+    fronts: Option<&Fronts>,
+) -> Result<Duties, String> {
+    let table = Table { text, name: "duties" };
+    let at = raw.electors.span().start;
+    let fronts = fronts.ok_or_else(|| table.fault(at, "electors", "needs a [fronts] table"))?;
+    let list = |list: &Spanned<Vec<Spanned<String>>>, field: &str| {
+        let names: BTreeSet<String> = list.get_ref().iter().map(|name| name.get_ref().clone()).collect();
+        let fits = matches!(names.len(), 3 | 5 | 7) && names.len() == list.get_ref().len();
+        let short = names.iter().all(|name| (1..=LONGEST).contains(&name.len()));
+        (fits && short)
+            .then_some(names)
+            .ok_or_else(|| table.fault(list.span().start, field, "wanted the names of 3, 5 or 7 fronts"))
+    };
+    let before = raw.electors_before.as_ref().map(|l| list(l, "electors-before")).transpose()?;
+    let electors = Electors { now: list(&raw.electors, "electors")?, before };
+    let length = table.time(&raw.lease_ms, "lease-ms", 200, 60_000)?;
+    let longest = table.time(&raw.longest_ms, "longest-ms", 200, 600_000)?;
+    if longest < length {
+        let why = "electors would grant less than lease-ms";
+        return Err(table.fault(raw.longest_ms.span().start, "longest-ms", why));
+    }
+    let probe = raw.probing.as_ref().map(|n| table.number(n, "probing", 1, 64)).transpose()?;
+    let every = table.time(&raw.probe_ms, "probe-ms", 20, 60_000)?;
+    let fresh = table.time(&raw.fresh_ms, "fresh-ms", 20, 600_000)?;
+    if fresh < every {
+        let why = "what is read each probe-ms would be old before it is read again";
+        return Err(table.fault(raw.fresh_ms.span().start, "fresh-ms", why));
+    }
+    let probing = probe.map(|duties| probing::Settings { duties, every, fresh });
+    let mut names: BTreeSet<String> =
+        (0..probe.unwrap_or_default()).map(larchfall_duty::probing::duty).collect();
+    let keepers = raw.keepers.as_ref().map(|n| table.number(n, "keepers", 1, 64)).transpose()?;
+    let lasts = table.time(&raw.share_ms, "share-ms", 100, 60_000)?;
+    let out = |kind| raw.hand_out.contains(&kind);
+    let kinds = Kinds {
+        cold: out(RawKind::Cold),
+        threads: out(RawKind::Threads),
+        customers: out(RawKind::Customers),
+    };
+    let keepers = keepers.map(|keepers| Keepers { keepers, length: lasts, kinds });
+    names.extend((0..keepers.map_or(0, |k| k.keepers)).map(larchfall_duty::probing::keeper));
+    let of_program = Table { text, name: "duty" };
+    let mut taken = Vec::new();
+    for program in programs {
+        let (name, at) = (program.name.get_ref().clone(), program.name.span().start);
+        if !(1..=LONGEST).contains(&name.len()) || !names.insert(name.clone()) {
+            let why = format!("wanted 1 to {LONGEST} bytes that no other duty has");
+            return Err(of_program.fault(at, "name", &why));
+        }
+        let command = program.command.get_ref().clone();
+        if command.first().is_none_or(String::is_empty) {
+            return Err(of_program.fault(program.command.span().start, "command", "names no program"));
+        }
+        // Renewed each third of a lease, two thirds are left at the worst: an ordinary delay ends nothing.
+        let end = of_program.time(&program.end_ms, "end-ms", 10, length.micros() / 4000)?;
+        taken.push(Program { duty: name, command, end });
+    }
+    let margin = table.number(&raw.margin, "margin", 1, 500)? as u32;
+    let settings = DutySettings {
+        cluster: fronts.settings.cluster.clone(),
+        electors,
+        terms: Terms { length, margin },
+        bounds: Bounds { longest, most: MOST_DUTIES, keeps: raw.record.is_some() },
+        duties: names,
+        least: table.time(&raw.least_ms, "least-ms", 0, 3_600_000)?,
+        better: BETTER,
+    };
+    let stale = raw.stale_ms.as_ref().map(|n| table.time(n, "stale-ms", 100, 3_600_000)).transpose()?;
+    let ill = raw.ill.as_ref().map(|n| table.number(n, "ill", 1, 8)).transpose()?;
+    let lines = Lines { stale, ill: ill.map(|ill| ill as u32) };
+    Ok(Duties { settings, record: raw.record, lines, probing, keepers, programs: taken })
+}
+
 fn rest(text: &str, raw: RawRest, names: &Names) -> Result<Rest, String> {
     let table = Table { text, name: "rest" };
     let fault = |at: usize, field: &str, why: &str| table.fault(at, field, why);
--- a/site/tests/site.rs
+++ b/site/tests/site.rs
@@ -25,7 +25,11 @@
     let (rest, fronts) = (example.rest.unwrap(), example.fronts.unwrap());
     assert_eq!((rest.headers, rest.batch.group.len()), (Family::Both, 2));
     assert_eq!((fronts.told, fronts.settings.networks[0].1), (fronts.address, 8));
+    let duties = example.duties.unwrap();
+    assert_eq!((duties.settings.duties.len(), duties.programs.len(), duties.keepers), (5, 1, None));
+    assert_eq!(duties.probing.map(|p| p.fresh), Some(Span::from_millis(1500)));
     assert!(parse(LEAST, &names()).unwrap().fronts.is_none());
+    assert!(parse(FRONTS, &names()).unwrap().duties.is_none());
     let least = parse(FRONTS, &names()).unwrap().fronts.unwrap();
     assert!(least.count.is_none() && fronts.count.is_some_and(|c| c.least == 3));
     assert_eq!((least.settings.period, least.settings.most), (Span::from_millis(500), 1024));
@@ -36,6 +40,10 @@
     let with = |line: &str| LEAST.replace("[rest.batch]", &format!("{line}\n[rest.batch]"));
     let fronts = |line: &str| format!("{FRONTS}{line}\n");
     let long = "x".repeat(49);
+    const THREE: &str = "electors = [\"a\", \"b\", \"c\"]";
+    let duties = |lines: &str| format!("{FRONTS}[duties]\n{lines}\n");
+    let duty = |lines: &str| duties(&format!("{THREE}\n[[duty]]\n{lines}"));
+    let runs = "name = \"x\"\ncommand = [\"true\"]";
     let cases = [
         (&fronts("dance = 1")[..], "line 7: unknown field `dance`"),
         (&fronts("period-ms = 10"), "line 7: fronts.period-ms: 10 ms is not within 50 to 60000"),
@@ -49,6 +57,34 @@
         (&FRONTS.replace("/8", "/33"), "line 6: fronts.networks: wanted an address and its bits"),
         (&FRONTS.replace("n0", &long), "line 3: fronts.name: wanted 1 to 48 bytes"),
         (&FRONTS.replace("cluster = \"toy\"\n", ""), "missing field `cluster`"),
+        (&format!("[duties]\n{THREE}\n"), "line 2: duties.electors: needs a [fronts] table"),
+        (
+            &duties("electors = [\"a\", \"b\"]"),
+            "line 8: duties.electors: wanted the names of 3, 5 or 7 fronts",
+        ),
+        (
+            &duties("electors = [\"a\", \"b\", \"b\"]"),
+            "line 8: duties.electors: wanted the names of 3, 5 or 7",
+        ),
+        (
+            &duties(&format!("{THREE}\nelectors-before = []")),
+            "line 9: duties.electors-before: wanted the names",
+        ),
+        (
+            &duties(&format!("{THREE}\nlongest-ms = 2000")),
+            "line 9: duties.longest-ms: electors would grant less",
+        ),
+        (&duties(&format!("{THREE}\nmargin = 900")), "line 9: duties.margin: 900 is not within 1 to 500"),
+        (&duties(&format!("{THREE}\nprobing = 2\nfresh-ms = 400")), "line 10: duties.fresh-ms: what is read"),
+        (&duties(&format!("{THREE}\nkeepers = 0")), "line 9: duties.keepers: 0 is not within 1 to 64"),
+        (&duty("name = \"\"\ncommand = [\"true\"]"), "line 10: duty.name: wanted 1 to 48 bytes"),
+        (
+            &duty(&format!("{runs}\n[[duty]]\n{runs}")),
+            "line 13: duty.name: wanted 1 to 48 bytes that no other",
+        ),
+        (&duty("name = \"x\"\ncommand = []"), "line 11: duty.command: names no program"),
+        (&duty(&format!("{runs}\nend-ms = 800")), "line 12: duty.end-ms: 800 ms is not within 10 to 750"),
+        (&format!("{FRONTS}[[duty]]\n{runs}\n"), "line 8: duty: needs a [duties] table"),
         ("[rest", "line 1"),
         ("[dance]\n", "line 1: unknown field `dance`"),
         ("[rest]\n", "missing field `listen`"),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,6 +4,19 @@
 
 use crate::time::{At, Span};
 
+/// What the module is told once, at its start.
+#[derive(Clone, Debug, Default)]
+pub struct Given {
+    pub fleet: Fleet,
+    pub groups: Vec<ServiceGroup>,
+    pub customers: Vec<Customer>,
+    pub caps: Caps,
+    pub cold: ColdRule,
+    /// Rest of a key after an outcome that leaves it open whether its dispatch runs.
+    pub key_quiet: Span,
+    pub ration: Option<RationRule>,
+}
+
 /// Which fronts and machines there are.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -77,6 +90,17 @@
     Cell,
 }
 
+impl Scope {
+    /// Whether the engines that drop a repeat of what ran on one are also those that drop it on the other.
+    pub fn holds(self, ran_on: &Engine, to: &Engine) -> bool {
+        match self {
+            Scope::All => true,
+            Scope::Zone => ran_on.zone == to.zone,
+            Scope::Cell => ran_on.cell == to.cell,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Customer {
     /// Batches a second over all fronts that count in full.
