--- a/src/policy.rs
+++ b/src/policy.rs
@@ -111,13 +111,20 @@
 }
 
 impl Budgets {
-    fn new(cores: f64, fronts: usize, thread_shares: &[f64]) -> Budgets {
-        let ceiling = (cores * THREADS_A_CORE).max(1.0);
-        let budget = thread_shares.iter().map(|s| ceiling / fronts as f64 * s).collect();
-        let (share, running) = (1.0 / fronts as f64, vec![0.0; thread_shares.len()]);
+    fn new(cores: f64, fronts: usize, asked: &[f64]) -> Budgets {
+        let (ceiling, all) = ((cores * THREADS_A_CORE).max(1.0), asked.iter().sum::<f64>().max(1e-9));
+        let budget = asked.iter().map(|a| ceiling / fronts as f64 * (a / all)).collect();
+        let (share, running) = (1.0 / fronts as f64, vec![0.0; asked.len()]);
         Budgets { budget, running, ceiling, bears: ceiling * share, share, ..Budgets::default() }
     }
 
+    /// Another part of the engine is this front's: what it learnt goes along.
+    fn take(&mut self, share: f64) {
+        let by = share / self.share;
+        (self.bears, self.share) = ((self.bears * by).min(self.ceiling), share);
+        self.budget.iter_mut().for_each(|budget| *budget *= by);
+    }
+
     /// How little of the engine this front's own count shows: near one where its bound is under a batch.
     fn foreign(&self) -> f64 {
         1.0 / (1.0 + self.bears)
@@ -176,11 +183,8 @@
                 *budget = budget.min(self.running[g]);
             }
             // Fullness alone shows no overload: it binds where it stands, and only lateness cuts.
-            *budget = match (late, self.congested) {
-                (true, _) => *budget * factor.powf(step),
-                (false, true) => *budget,
-                _ => *budget + add * step,
-            };
+            let added = if self.congested { 0.0 } else { add * step };
+            *budget = if late { *budget * factor.powf(step) } else { *budget + added };
             *budget = budget.min(self.ceiling.max(threads[g])).max(threads[g] * floor);
         }
         // Single late answers on thin traffic are chance: what was heard fades over a few ticks.
@@ -212,24 +216,24 @@
     }
 }
 
-/// Customers' shares: a bucket each, filled at this front's part of the allowance.
-struct Shares {
-    allowances: Vec<f64>,
-    left: Vec<(f64, At)>,
+/// A customer's share: a bucket, filled at this front's part of the allowance, which somebody may hand out.
+struct Share {
+    allowance: f64,
+    part: Option<f64>,
+    left: f64,
+    at: At,
 }
 
-impl Shares {
-    /// Whether this batch lies within its customer's share; it then uses some of it up.
-    fn within(&mut self, customer: Option<usize>, part: f64, now: At) -> bool {
-        let Some(c) = customer.filter(|c| self.allowances.get(*c).is_some_and(|a| *a > 0.0)) else {
-            return true;
-        };
-        let ((left, at), rate) = (&mut self.left[c], self.allowances[c] * part);
-        *left = (*left + now.since(*at).secs() * rate).min(rate * SHARE_DEPTH.secs() + SHARE_CHANCE);
-        *at = now;
-        let within = *left >= 1.0;
-        *left -= f64::from(u8::from(within));
-        within
+impl Share {
+    /// Whether a batch lies within it; it then uses some of it up. No allowance is no bound.
+    fn within(&mut self, part: f64, now: At) -> bool {
+        let rate = self.allowance * self.part.unwrap_or(part);
+        let most = rate * SHARE_DEPTH.secs() + SHARE_CHANCE;
+        self.left = (self.left + now.since(self.at).secs() * rate).min(most);
+        self.at = now;
+        let within = self.left >= 1.0;
+        self.left -= f64::from(within);
+        within || self.allowance <= 0.0
     }
 }
 
@@ -244,9 +248,7 @@
 
 impl Cold {
     fn allows(&mut self, rule: &ColdRule, share: f64, work: f64, now: At, chance: &mut WyRand) -> bool {
-        while self.sent.front().is_some_and(|(at, _)| now.since(*at) > rule.window) {
-            self.sent.pop_front();
-        }
+        self.sent.retain(|(at, _)| now.since(*at) <= rule.window);
         let spent: f64 = self.sent.iter().map(|(_, w)| w).sum();
         if now.since(self.drawn) >= rule.window {
             (self.drawn, self.luck) = (now, chance.generate::<f64>());
@@ -274,7 +276,7 @@
         let step = if bad { failing / sound } else { (1.0 - failing) / (1.0 - sound) }.ln();
         self.evidence = (self.evidence + step).clamp(0.0, EVIDENCE);
         if !self.failing {
-            *mean = (mean.0 * SOUND_MEAN.1 + f64::from(u8::from(bad)), mean.1 * SOUND_MEAN.1 + 1.0);
+            *mean = (mean.0 * SOUND_MEAN.1 + f64::from(bad), mean.1 * SOUND_MEAN.1 + 1.0);
             self.failing = self.evidence >= EVIDENCE;
             (self.trial_gap, self.trial_at) = (TRIAL_FIRST, now + TRIAL_FIRST);
             return self.failing;
@@ -366,6 +368,12 @@
     warm: VecDeque<u32>,
     /// When a dispatch last ended there with a word of the engine's, which leaves its connection.
     linked: Option<At>,
+    /// This front's part of what it bears while cold, where somebody hands parts out.
+    part: Option<f64>,
+    /// Ready, but outside of the subset that this front uses.
+    unused: bool,
+    /// Left out, and another front's turn to try it.
+    waits: bool,
 }
 
 impl EngineNow {
@@ -373,6 +381,10 @@
         self.told.state == EngineState::Ready
     }
 
+    fn is_used(&self) -> bool {
+        self.is_ready() && !self.unused
+    }
+
     /// What shows the load there, weighed against what it mostly is at all engines.
     fn tells(&mut self, load: f64, mostly: &mut f64, now: At) {
         *mostly += (load - *mostly) * MEAN_STEP;
@@ -430,7 +442,7 @@
     groups: Vec<ServiceGroup>,
     ranks: Vec<usize>,
     threads: Vec<f64>,
-    shares: Shares,
+    shares: Vec<Share>,
     caps: Caps,
     cold: ColdRule,
     ration: Ration,
@@ -460,56 +472,32 @@
     groups.iter().map(|g| groups.iter().filter(|o| before(o, g)).count().min(RANKS.len() - 1)).collect()
 }
 
-/// Rule 2's first question. What was cut off and then turned away on another connection may still come in.
-fn proves_not_run(outcome: Outcome, seen: Seen) -> bool {
-    matches!(outcome, Outcome::ConnectFailed | Outcome::Moot) || outcome == Outcome::Full && seen.same
-}
-
-/// Rule 2: a pushback says that trying again is harmless.
-fn may_push_back(effect: Effect, may_have_run: bool) -> bool {
-    !may_have_run || matches!(effect, Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. })
-}
-
 /// Rule 2: whether a further dispatch may go to this engine now.
 fn may_repeat(effect: Effect, first: Option<(Engine, At)>, to: &Engine, now: At, step: Span) -> bool {
     let Some((ran_on, at)) = first else { return true };
     match effect {
         Effect::Repeatable => true,
         Effect::OnceOnly => false,
-        Effect::Referenced { scope, window } => {
-            now.since(at) + step < window
-                && match scope {
-                    Scope::All => true,
-                    Scope::Zone => ran_on.zone == to.zone,
-                    Scope::Cell => ran_on.cell == to.cell,
-                }
-        }
+        Effect::Referenced { scope, window } => now.since(at) + step < window && scope.holds(&ran_on, to),
     }
 }
 
 impl Policy {
-    pub fn new(
-        seed: u64,
-        mut fleet: Fleet,
-        mut groups: Vec<ServiceGroup>,
-        customers: Vec<Customer>,
-        caps: Caps,
-        (cold, key_quiet): (ColdRule, Span),
-        ration: Option<RationRule>,
-    ) -> Policy {
+    pub fn new(seed: u64, given: Given) -> Policy {
+        let Given { mut fleet, mut groups, customers, caps, cold, key_quiet, ration } = given;
         // Odd settings are made sound here, once: no part below asks again.
         fleet.fronts = fleet.fronts.max(1);
         groups.iter_mut().for_each(|g| g.threads = g.threads.max(1.0));
         let threads: Vec<f64> = groups.iter().map(|g| g.threads).collect();
-        let left = vec![(SHARE_CHANCE, At::default()); customers.len()];
-        let shares = Shares { allowances: customers.iter().map(|c| c.allowance).collect(), left };
+        let share =
+            |c: Customer| Share { allowance: c.allowance, part: None, left: SHARE_CHANCE, at: At::default() };
         Policy {
             asked: threads.clone(),
             fleet,
             ranks: rank(&groups),
             threads,
             usual: groups.iter().map(Usual::new).collect(),
-            shares,
+            shares: customers.into_iter().map(share).collect(),
             keys: Account::new(key_quiet, caps.forgets.unwrap_or_default()),
             caps,
             cold,
@@ -531,28 +519,17 @@
         if let Some(engine) = self.engines.get_mut(&e) {
             if engine.told.started != told.started {
                 // Whatever was held against the process that ran there before says nothing of the new one.
-                engine.health = Health::default();
+                (engine.health, engine.linked, engine.heard) = (Health::default(), None, now);
                 engine.warm.clear();
-                engine.linked = None;
                 engine.budgets.congested = false;
-                engine.heard = now;
             }
             (engine.told, engine.told_at) = (told, now);
             return;
         }
-        let all = self.asked.iter().sum::<f64>().max(1e-9);
-        let shares: Vec<f64> = self.asked.iter().map(|a| a / all).collect();
-        let budgets = Budgets::new(self.fleet.cores(&told), self.fleet.fronts, &shares);
+        let budgets = Budgets::new(self.fleet.cores(&told), self.fleet.fronts, &self.asked);
         self.engines.insert(e, EngineNow { told, told_at: now, budgets, heard: now, ..EngineNow::default() });
     }
 
-    /// A full list leaves out the engines that are gone.
-    pub fn engine_left(&mut self, now: At, e: usize) {
-        if let Some(engine) = self.engines.get_mut(&e) {
-            (engine.told.state, engine.told_at) = (EngineState::Gone, now);
-        }
-    }
-
     /// Gone, with nothing out there, and not soon back: such an engine is forgotten, and its index is free.
     pub fn forget(&mut self, now: At, e: usize) -> bool {
         let gone = |x: &EngineNow| x.told.state == EngineState::Gone && now.since(x.told_at) >= GONE_FOR;
@@ -567,11 +544,10 @@
         self.asked[g] += self.threads[g];
         self.usual[g].hint(batch.work);
         batch.key = batch.key.filter(|_| self.groups[g].in_order);
-        if let Some(key) = batch.key {
-            self.keys.take(key, b);
-        }
+        batch.key.into_iter().for_each(|key| self.keys.take(key, b));
         let work = self.usual[g].work(batch.work);
-        let within_share = self.shares.within(batch.customer, self.part(), now);
+        let (part, customer) = (self.part(), batch.customer.and_then(|c| self.shares.get_mut(c)));
+        let within_share = customer.is_none_or(|share| share.within(part, now));
         self.batches.insert(b, Held { batch, taken: now, work, within_share, ..Held::default() });
     }
 
@@ -590,10 +566,8 @@
             return Place::NotYet;
         }
         let spent = held.dispatches >= self.caps.most_dispatches.min(1 + MOST_FURTHER);
-        if held.dispatches > 0 && (self.overloaded || spent || !self.ration.allows(now)) {
-            return self.give_up(b);
-        }
-        match self.choose(now, b) {
+        let may = held.dispatches == 0 || !self.overloaded && !spent && self.ration.allows(now);
+        match may.then(|| self.choose(now, b)).flatten() {
             Some(e) => self.send(now, b, e),
             None => self.give_up(b),
         }
@@ -611,13 +585,13 @@
         }
         held.over |= answer.over;
         let unsure = matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff);
-        if let Some(key) = held.batch.key {
-            self.keys.ended(key, b, number, answer.seen, unsure, now);
-        }
+        let key = held.batch.key.into_iter();
+        key.for_each(|key| self.keys.ended(key, b, number, answer.seen, unsure, now));
         let Some(engine) = self.engines.get_mut(&out.engine) else { return Next::Over };
-        if !proves_not_run(answer.outcome, answer.seen)
-            && held.may_have_run.is_none_or(|(_, at)| out.sent < at)
-        {
+        // Rule 2's first question. What was cut off and then turned away on another connection may still come in.
+        let never_ran = matches!(answer.outcome, Outcome::ConnectFailed | Outcome::Moot)
+            || answer.outcome == Outcome::Full && answer.seen.same;
+        if !never_ran && held.may_have_run.is_none_or(|(_, at)| out.sent < at) {
             held.may_have_run = Some((engine.told, out.sent));
         }
         engine.budgets.running[g] = (engine.budgets.running[g] - self.threads[g]).max(0.0);
@@ -627,17 +601,14 @@
         }
         engine.held.retain(|_, (own, noted_till)| *own > 0 || *noted_till > now);
         if out.memory_mb.is_some() && (out.spilled || answer.outcome == Outcome::Returned) {
-            let step = if out.spilled { GRANT_STEPS.0 } else { GRANT_STEPS.1 };
-            let grant = &mut self.usual[g].grant;
-            *grant = (*grant * step).clamp(GRANT_BOUNDS.0, GRANT_BOUNDS.1);
+            let (step, usual) = (if out.spilled { GRANT_STEPS.0 } else { GRANT_STEPS.1 }, &mut self.usual[g]);
+            usual.grant = (usual.grant * step).clamp(GRANT_BOUNDS.0, GRANT_BOUNDS.1);
         }
         engine.budgets.batches = engine.budgets.batches.saturating_sub(1);
         match answer.outcome {
             Outcome::Returned => {
                 engine.budgets.answers += 1.0;
-                if answer.took > goal && !out.stood && !out.cut_off {
-                    engine.budgets.late += 1.0;
-                }
+                engine.budgets.late += f64::from(answer.took > goal && !out.stood && !out.cut_off);
                 let took = answer.took.secs() * self.threads[g];
                 // Cores that are all busy look alike, and only the time that told work took tells them apart.
                 if let Some(work) = answer.work.filter(|_| !out.stood && answer.report.in_hand.is_none()) {
@@ -663,16 +634,21 @@
         if matches!(answer.outcome, Outcome::Returned | Outcome::Errored | Outcome::Full) {
             engine.linked = Some(now);
         }
-        if bad.is_some_and(|bad| engine.health.see(bad, &mut self.bad, now)) {
-            let word = if bad == Some(true) { "failing: outcomes" } else { "sound again: an outcome" };
-            self.log.push(format!("engine {} {word}", out.engine));
-        }
         let over = held.over;
+        bad.into_iter().for_each(|bad| self.outcome(now, out.engine, bad, "outcomes"));
         self.probed(now, out.engine, answer.report);
         self.let_go(b);
         if over { Next::Over } else { Next::Ask }
     }
 
+    /// An outcome at an engine, of this front's own or one that others saw and whose weight the caller worked out.
+    pub fn outcome(&mut self, now: At, e: usize, bad: bool, how: &str) {
+        let Some(engine) = self.engines.get_mut(&e) else { return };
+        if engine.health.see(bad, &mut self.bad, now) {
+            self.log.push(format!("engine {e} {}: {how}", if bad { "failing" } else { "sound again" }));
+        }
+    }
+
     /// An engine's report, with an answer or by a probe.
     pub fn probed(&mut self, now: At, e: usize, report: Report) {
         let Some(engine) = self.engines.get_mut(&e) else { return };
@@ -705,8 +681,7 @@
     /// Whoever looked after this batch ended without a word: nothing is known of what is out.
     pub fn lost(&mut self, now: At, b: usize) {
         self.end(b);
-        let seen = Seen { last: Last::Lost, same: false };
-        let answer = Answer::bare(Outcome::CalledOff, seen);
+        let answer = Answer::bare(Outcome::CalledOff, Seen { last: Last::Lost, same: false });
         while let Some(number) = self.batches.get(&b).and_then(|h| Some(h.out.first()?.number)) {
             self.after(now, b, number, &answer);
         }
@@ -716,7 +691,34 @@
     pub fn count(&mut self, fronts: usize) {
         self.fleet.fronts = fronts.max(1);
         let share = 1.0 / self.fleet.fronts as f64;
-        self.engines.values_mut().for_each(|x| x.budgets.share = share);
+        self.engines.values_mut().for_each(|x| x.budgets.take(share));
+    }
+
+    /// This front's part of what an engine bears while cold, and of its threads, where they are no even ones.
+    pub fn share(&mut self, e: usize, cold: Option<f64>, threads: Option<f64>) {
+        let Some(engine) = self.engines.get_mut(&e) else { return };
+        engine.part = cold;
+        engine.budgets.take(threads.unwrap_or(1.0 / self.fleet.fronts as f64));
+    }
+
+    /// This front uses an engine or does without it, by its own choice among those that it may use.
+    pub fn use_engine(&mut self, e: usize, uses: bool) {
+        self.engines.get_mut(&e).into_iter().for_each(|engine| engine.unused = !uses);
+    }
+
+    /// Whether it may be tried from here while it is judged failing, where fronts take turns at that.
+    pub fn turn(&mut self, e: usize, mine: bool) {
+        self.engines.get_mut(&e).into_iter().for_each(|engine| engine.waits = !mine);
+    }
+
+    /// Whether an engine is judged failing, and whether its last tick read congested.
+    pub fn standing(&self, e: usize) -> Option<(bool, bool)> {
+        self.engines.get(&e).map(|x| (x.health.failing, x.budgets.congested))
+    }
+
+    /// This front's part of a customer's allowance, likewise.
+    pub fn allowance(&mut self, customer: usize, part: Option<f64>) {
+        self.shares.get_mut(customer).into_iter().for_each(|share| share.part = part);
     }
 
     /// The front ends then: what it holds is to have its final answer before.
@@ -731,8 +733,8 @@
         let Some(engine) = self.engines.get_mut(&out.engine).filter(|_| note != Note::CutOff) else { return };
         (out.heard, engine.heard) = (now, now);
         match note {
-            Note::Done(share) if share > 0.0 => {
-                out.foretold = Some(now.since(out.sent) * share.min(1.0).recip())
+            Note::Done(part) if part > 0.0 => {
+                out.foretold = Some(now.since(out.sent) * part.min(1.0).recip())
             }
             Note::SpillsMb(_) => out.spilled = true,
             Note::WaitsForHolder => {
@@ -758,19 +760,13 @@
                 // A foretold lateness is load too, unless so far off that the plan, not the engine, is bad.
                 let paced = out.foretold.filter(|f| *f < astray).unwrap_or_default();
                 let is_late = now.since(out.sent).max(paced) > goal && !out.stood && !out.cut_off;
-                engine.budgets.overdue += f64::from(u8::from(is_late));
-                let Some(every) = self.caps.notes_every else { continue };
-                let silent = now.since(engine.heard.max(out.heard)) > every * NOTE_SLACK;
+                engine.budgets.overdue += f64::from(is_late);
+                let heard = engine.heard.max(out.heard);
+                let silent = self.caps.notes_every.is_some_and(|n| now.since(heard) > n * NOTE_SLACK);
                 engine.missed += usize::from(silent && !out.called_off);
             }
         }
-        let mut all = Pool::default();
-        let mut pools: BTreeMap<usize, Pool> = BTreeMap::new();
-        for x in self.engines.values().filter(|x| x.is_ready() && !x.health.failing) {
-            let warm = self.cold.warmth(x.told.started, now);
-            all.add(&x.budgets, 0, warm);
-            pools.entry(x.told.kind).or_default().add(&x.budgets, 0, warm);
-        }
+        let (all, pools) = self.pools(now, 0, |x| x.is_used() && !x.health.failing);
         for (e, engine) in &mut self.engines {
             let open = self.groups.iter().filter(|g| g.may_go_to(&engine.told)).map(|g| g.threads);
             let pool = pools.get(&engine.told.kind).unwrap_or(&all);
@@ -782,15 +778,13 @@
                     self.log.push(format!("engine {e} failing: silent"));
                 }
             }
-            if engine.is_ready() {
-                ready += 1.0;
-                congested += f64::from(u8::from(engine.budgets.congested));
-            }
+            ready += f64::from(engine.is_used());
+            congested += f64::from(engine.is_used() && engine.budgets.congested);
         }
         let overloaded = ready > 0.0 && congested >= ready * OVERLOAD_SHARE;
         if overloaded != self.overloaded {
             self.overloaded = overloaded;
-            let word = if overloaded { "on" } else { "off" };
+            let word = ["off", "on"][usize::from(overloaded)];
             self.log.push(format!("overload {word}: {congested} of {ready} engines congested"));
         }
     }
@@ -798,7 +792,7 @@
     /// The engines to ask for a report now: the less this front's own count shows, the more of them.
     pub fn probes(&mut self) -> Vec<usize> {
         let Some(price) = self.caps.probe_price else { return Vec::new() };
-        let ready = self.engines.iter().filter(|(_, x)| x.is_ready());
+        let ready = self.engines.iter().filter(|(_, x)| x.is_used());
         let (ready, foreign): (Vec<usize>, Vec<f64>) = ready.map(|(e, x)| (*e, x.budgets.foreign())).unzip();
         let most = PROBES.min(PROBES_COST / price.max(1e-9));
         let rate = most * foreign.iter().sum::<f64>() / (ready.len() as f64).max(1.0);
@@ -811,6 +805,17 @@
         std::mem::take(&mut self.log)
     }
 
+    /// What the engines that count show together, and those of each kind, for a group.
+    fn pools(&self, now: At, g: usize, counts: impl Fn(&EngineNow) -> bool) -> (Pool, BTreeMap<usize, Pool>) {
+        let (mut all, mut pools) = (Pool::default(), BTreeMap::<usize, Pool>::new());
+        for x in self.engines.values().filter(|x| counts(x)) {
+            let warm = self.cold.warmth(x.told.started, now);
+            all.add(&x.budgets, g, warm);
+            pools.entry(x.told.kind).or_default().add(&x.budgets, g, warm);
+        }
+        (all, pools)
+    }
+
     /// This front's part of all traffic: an even one at least, more where engines tell what they hold.
     fn part(&self) -> f64 {
         let (own, all) = self.held_there;
@@ -830,20 +835,20 @@
         let mean = self.usual[g].mean();
         // With most engines judged failing the judgement itself is in doubt: go by budgets alone. Full but
         // sound ones count: what they have no room for must not spill onto a failing one.
-        let in_reach = |x: &EngineNow| x.is_ready() && group.may_go_to(&x.told);
-        let reach = || self.engines.values().filter(|x| in_reach(x));
-        let (all, failing) = reach().fold((0, 0), |(n, f), x| (n + 1, f + usize::from(x.health.failing)));
+        // What may have run is looked for where it ran, and a subset with nothing ready for a group is none.
+        let open = |x: &EngineNow| x.is_ready() && group.may_go_to(&x.told);
+        let any = held.may_have_run.is_some() || !self.engines.values().any(|x| open(x) && !x.unused);
+        let in_reach = |x: &EngineNow| open(x) && (any || !x.unused);
+        let reach = self.engines.values().filter(|x| in_reach(x));
+        let (all, failing) = reach.fold((0, 0), |(n, f), x| (n + 1, f + usize::from(x.health.failing)));
         let trusted = failing as f64 <= all as f64 * MOST_FAILING;
-        let mut pools: BTreeMap<usize, Pool> = BTreeMap::new();
-        for x in reach().filter(|x| !trusted || !x.health.failing) {
-            let pool = pools.entry(x.told.kind).or_default();
-            pool.add(&x.budgets, g, self.cold.warmth(x.told.started, now));
-        }
+        let (_, pools) = self.pools(now, g, |x| in_reach(x) && !(trusted && x.health.failing));
         let none = Pool::default();
         let (mut best, mut ties): (Option<(usize, f64)>, u64) = (None, 0);
         for (&e, engine) in self.engines.iter_mut().filter(|(_, x)| in_reach(x)) {
             // A trial batch is one that may run again. A probe clears none: what answers it may still error.
-            let trial = group.effect == Effect::Repeatable && now >= engine.health.trial_at;
+            let may = group.effect == Effect::Repeatable && !engine.waits;
+            let trial = may && now >= engine.health.trial_at;
             let pool = pools.get(&engine.told.kind).unwrap_or(&none);
             if (trusted && engine.health.failing && !trial)
                 || !engine.budgets.has_room(g, self.threads[g], held.within_share, pool)
@@ -853,7 +858,7 @@
             }
             let (rule, warm) = (&self.cold, self.cold.warmth(engine.told.started, now));
             let all = rule.multiple * warm * self.fleet.cores(&engine.told) * 0.85 * rule.window.secs();
-            let share = all / self.fleet.fronts as f64;
+            let share = all * engine.part.unwrap_or(1.0 / self.fleet.fronts as f64);
             if warm < 1.0 && all > 0.0 && !engine.cold.allows(rule, share, mean, now, &mut self.chance) {
                 continue;
             }
@@ -885,11 +890,9 @@
         let Some(held) = self.batches.get_mut(&b) else { return Place::NotYet };
         let g = held.batch.group;
         if held.dispatches > 0 {
-            self.ration.spend(now);
-        }
-        if let Some(key) = held.batch.key {
-            self.keys.sent(key, b, held.dispatches as u8);
+            self.ration.further.push_back(now);
         }
+        held.batch.key.into_iter().for_each(|key| self.keys.sent(key, b, held.dispatches as u8));
         engine.health.trial_at = now + engine.health.trial_gap;
         engine.budgets.running[g] += self.threads[g];
         engine.budgets.batches += 1;
@@ -900,15 +903,8 @@
         let estimate = held.batch.memory_mb.filter(|_| self.caps.sets_memory);
         let memory_mb = estimate.map(|m| m * self.usual[g].grant);
         let (group, set) = (&self.groups[g], held.batch.data_set);
-        held.out.push(Out {
-            number: held.dispatches as u8,
-            engine: e,
-            sent: now,
-            heard: now,
-            memory_mb,
-            stood: group.waits_for_holder && engine.holds(set, now),
-            ..Out::default()
-        });
+        let (number, stood) = (held.dispatches as u8, group.waits_for_holder && engine.holds(set, now));
+        held.out.push(Out { number, engine: e, sent: now, heard: now, memory_mb, stood, ..Out::default() });
         held.dispatches += 1;
         held.last_engine = Some(e);
         engine.warm.retain(|s| *s != set);
@@ -953,16 +949,16 @@
     pub fn give_up(&mut self, b: usize) -> Place {
         let Some(held) = self.batches.get(&b).filter(|h| !h.over) else { return Place::NotYet };
         let effect = self.groups[held.batch.group].effect;
-        let harmless = may_push_back(effect, held.may_have_run.is_some() || !held.out.is_empty());
+        // Rule 2: a pushback says that trying again is harmless.
+        let harmless = held.may_have_run.is_none() && held.out.is_empty()
+            || matches!(effect, Effect::Repeatable | Effect::Referenced { scope: Scope::All, .. });
         self.end(b);
         if harmless { Place::PushBack(self.caps.come_back) } else { Place::Error }
     }
 
     fn end(&mut self, b: usize) {
-        if let Some(held) = self.batches.get_mut(&b) {
-            held.over = true;
-            self.let_go(b);
-        }
+        self.batches.get_mut(&b).into_iter().for_each(|held| held.over = true);
+        self.let_go(b);
     }
 
     /// A batch leaves once it is over and nothing of it is out, and its key with it.
--- a/src/policy/ration.rs
+++ b/src/policy/ration.rs
@@ -12,7 +12,8 @@
     rule: Option<RationRule>,
     /// When the batches that count were taken: they end in any order.
     taken: BinaryHeap<Reverse<At>>,
-    further: VecDeque<At>,
+    /// When further dispatches went out.
+    pub further: VecDeque<At>,
 }
 
 impl Ration {
@@ -26,11 +27,6 @@
         self.trim(now);
     }
 
-    /// A further dispatch goes out.
-    pub fn spend(&mut self, now: At) {
-        self.further.push_back(now);
-    }
-
     pub fn allows(&mut self, now: At) -> bool {
         let Some(rule) = self.trim(now) else { return true };
         (self.further.len() + 1) as f64 <= rule.free + rule.per_batch * self.taken.len() as f64
@@ -41,9 +37,7 @@
         while self.taken.peek().is_some_and(|at| now.since(at.0) >= window) {
             self.taken.pop();
         }
-        while self.further.front().is_some_and(|at| now.since(*at) >= window) {
-            self.further.pop_front();
-        }
+        self.further.retain(|at| now.since(*at) < window);
         self.rule
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -26,64 +26,44 @@
     }
 }
 
-pub struct Rig {
-    pub fleet: Fleet,
-    pub groups: Vec<ServiceGroup>,
-    pub customers: Vec<Customer>,
-    pub caps: Caps,
-    pub cold: ColdRule,
-    pub ration: Option<RationRule>,
-    pub key_quiet: Span,
-}
-
-impl Default for Rig {
-    fn default() -> Rig {
-        Rig {
-            fleet: Fleet {
-                fronts: 1,
-                me: 0,
-                zone: 0,
-                kinds: vec![Kind { cores: 8.0, memory_mb: 16_000.0 }; 2],
-            },
-            groups: vec![
-                group(1.0, 1.0, Effect::Repeatable),
-                group(12.0, 4.0, Effect::Repeatable),
-                group(4.0, 2.0, Effect::OnceOnly),
-            ],
-            customers: Vec::new(),
-            caps: Caps {
-                call_off: true,
-                most_dispatches: 5,
-                come_back: Some(Span::from_millis(500)),
-                sets_memory: true,
-                notes_every: Some(Span::from_millis(1000)),
-                clock_step: Span::from_millis(5),
-                ..Caps::default()
-            },
-            cold: ColdRule {
-                multiple: 2.0,
-                window: Span::from_millis(2000),
-                starts_at: 0.32,
-                warm_within: Span::from_millis(15_000),
-            },
-            ration: None,
-            key_quiet: Span::ZERO,
-        }
+/// What a front of these tests is given, unless its test says something else.
+pub fn usual() -> Given {
+    Given {
+        fleet: Fleet { fronts: 1, me: 0, zone: 0, kinds: vec![Kind { cores: 8.0, memory_mb: 16_000.0 }; 2] },
+        groups: vec![
+            group(1.0, 1.0, Effect::Repeatable),
+            group(12.0, 4.0, Effect::Repeatable),
+            group(4.0, 2.0, Effect::OnceOnly),
+        ],
+        customers: Vec::new(),
+        caps: Caps {
+            call_off: true,
+            most_dispatches: 5,
+            come_back: Some(Span::from_millis(500)),
+            sets_memory: true,
+            notes_every: Some(Span::from_millis(1000)),
+            clock_step: Span::from_millis(5),
+            ..Caps::default()
+        },
+        cold: ColdRule {
+            multiple: 2.0,
+            window: Span::from_millis(2000),
+            starts_at: 0.32,
+            warm_within: Span::from_millis(15_000),
+        },
+        ration: None,
+        key_quiet: Span::ZERO,
     }
 }
 
-impl Rig {
+pub trait Start {
     /// A front that was told of `engines` warm ones, all ready, in zone 0, of kind 0.
-    pub fn start(self, engines: usize) -> Front {
-        let policy = Policy::new(
-            7 + self.fleet.me as u64,
-            self.fleet,
-            self.groups,
-            self.customers,
-            self.caps,
-            (self.cold, self.key_quiet),
-            self.ration,
-        );
+    fn start(self, engines: usize) -> Front;
+}
+
+impl Start for Given {
+    fn start(self, engines: usize) -> Front {
+        let policy = Policy::new(7 + self.fleet.me as u64, self);
         let mut front = Front { policy, next: 0 };
         for e in 0..engines {
             front.policy.engine(ms(0), e, engine());
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -13,7 +13,7 @@
     for (at, limit, sends) in
         [(0, 1000, true), (0, 20, true), (0, 15, false), (0, 5, false), (100, 50, false)]
     {
-        let mut front = Rig::default().start(2);
+        let mut front = usual().start(2);
         let (_, place) = front.take(at, Batch { time_limit: ms(limit), work: None, ..batch(LOOK_UP) });
         match place {
             Place::Send(d) => assert!(sends && ms(at) + d.time_out + Span::from_millis(5) < ms(limit)),
@@ -26,7 +26,7 @@
 fn rule_1_what_waits_for_its_key_is_asked_about_in_time() {
     // (asked at ms, time limit at ms, asked again at ms): its look, or the last safe moment
     for (at, limit, again) in [(0, 1000, 20), (0, 30, 15), (970, 1000, 985)] {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.groups[LOAD].in_order = true;
         let mut front = rig.start(1);
         front.take(0, Batch { key: Some(1), work: None, ..batch(LOAD) });
@@ -57,7 +57,7 @@
         (referenced(Scope::Cell), Outcome::ConnectFailed, 100, true, true),
     ];
     for (effect, outcome, at, again, push_back) in cases {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.groups[LOAD].effect = effect;
         let mut front = rig.start(1);
         let (b, place) = front.take(0, batch(LOAD));
@@ -89,7 +89,7 @@
         (vec![engine(), zone_1], Some(vec![1]), Some(vec![1]), None),
     ];
     for (i, (engines, kinds, zones, to)) in cases.into_iter().enumerate() {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         (rig.groups[REPORT].kinds, rig.groups[REPORT].zones) = (kinds, zones);
         let mut front = rig.start(0);
         for (e, engine) in engines.into_iter().enumerate() {
@@ -110,7 +110,7 @@
         (1, 16_000, 1000, 99, 100),
     ];
     for (fronts, age, work, least, most) in cases {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.fleet.fronts = fronts;
         let mut front = rig.start(0);
         front.policy.engine(ms(20_000), 0, Engine { started: Some(ms(20_000 - age)), ..engine() });
@@ -133,7 +133,7 @@
     // (estimate of the first in ms, most that a cold engine gets of them at once); the goal has room for 1 s
     // each
     for (work, most) in [(None, 7), (Some(1000), 7)] {
-        let mut front = Rig::default().start(0);
+        let mut front = usual().start(0);
         front.policy.engine(ms(0), 0, Engine { started: Some(ms(0)), ..engine() });
         let one = Batch { work: work.map(Span::from_millis), ..batch(LOOK_UP) };
         let sent = (0..12).filter(|_| sent_to(front.take(0, one.clone()).1).is_some()).count();
@@ -152,7 +152,7 @@
         (Outcome::Reset, true, true),
         (Outcome::Errored, true, false),
     ] {
-        let mut rig = Rig { key_quiet: Span::from_millis(300), ..Rig::default() };
+        let mut rig = Given { key_quiet: Span::from_millis(300), ..usual() };
         rig.groups[LOAD].in_order = true;
         let mut front = rig.start(3);
         let keyed = |k| Batch { key: Some(k), ..batch(LOAD) };
@@ -194,7 +194,7 @@
         (2.0, 0.1, 0, Some(Outcome::CalledOff), 2),
     ] {
         let rule = RationRule { window: Span::from_millis(10_000), free, per_batch };
-        let rig = Rig { ration: Some(rule), ..Rig::default() };
+        let rig = Given { ration: Some(rule), ..usual() };
         let mut front = rig.start(4);
         for _ in 0..returned {
             let b = front.take(0, batch(LOOK_UP)).0;
@@ -219,7 +219,7 @@
 #[test]
 fn what_was_returned_counts_from_when_it_was_taken() {
     let rule = RationRule { window: Span::from_millis(1_000), free: 0.0, per_batch: 1.0 };
-    let mut front = Rig { ration: Some(rule), ..Rig::default() }.start(4);
+    let mut front = Given { ration: Some(rule), ..usual() }.start(4);
     // A long one ends after a short one that was taken later.
     let (long, _) = front.take(0, batch(LOOK_UP));
     let (short, _) = front.take(500, batch(LOOK_UP));
@@ -238,7 +238,7 @@
 #[test]
 fn rule_2_what_was_cut_off_and_then_turned_away_may_have_run() {
     for (same, place) in [(true, Place::PushBack(Some(Span::from_millis(500)))), (false, Place::Error)] {
-        let mut front = Rig { ration: Some(RationRule::default()), ..Rig::default() }.start(1);
+        let mut front = Given { ration: Some(RationRule::default()), ..usual() }.start(1);
         let (b, _) = front.take(0, batch(LOAD));
         let seen = Seen { last: Last::Declined, same };
         let answer = Answer { over: false, ..Answer::bare(Outcome::Full, seen) };
@@ -249,10 +249,7 @@
 
 #[test]
 fn a_batch_that_nobody_looks_after_any_more_leaves_with_its_key() {
-    let mut rig = Rig {
-        caps: Caps { forgets: Some(Span::from_millis(2_150)), ..Rig::default().caps },
-        ..Rig::default()
-    };
+    let mut rig = Given { caps: Caps { forgets: Some(Span::from_millis(2_150)), ..usual().caps }, ..usual() };
     rig.groups[LOAD].in_order = true;
     let mut front = rig.start(2);
     let keyed = Batch { key: Some(9), ..batch(LOAD) };
@@ -283,7 +280,7 @@
         (vec![R, R, O], false),
         (vec![R, R, O, O, O, O], true),
     ] {
-        let mut front = Rig::default().start(1);
+        let mut front = usual().start(1);
         for (i, outcome) in outcomes.iter().enumerate() {
             let at = 100 * i as u64;
             let (b, place) = front.take(at, batch(LOOK_UP));
@@ -303,7 +300,7 @@
 fn what_goes_wrong_at_all_engines_alike_is_held_against_none() {
     // Share of bad outcomes at all of four engines, then at engine 0 alone; which of them are left out.
     for (at_all, at_one, left_out) in [(0.0, 0.0, 0), (0.08, 0.0, 0), (0.0, 1.0, 1), (0.08, 1.0, 1)] {
-        let mut front = Rig::default().start(4);
+        let mut front = usual().start(4);
         let (mut ended, mut bad) = (0, [0.0; 2]);
         for at in 0..2000 {
             let (b, place) = front.take(at, batch(LOOK_UP));
@@ -329,7 +326,7 @@
 #[test]
 fn what_a_cut_connection_made_late_reads_no_congestion() {
     for (note, congested) in [(Some(Note::CutOff), false), (None, true)] {
-        let mut front = Rig::default().start(1);
+        let mut front = usual().start(1);
         let sent: Vec<usize> = (0..10).map(|_| front.take(0, batch(LOOK_UP)).0).collect();
         for b in &sent {
             note.into_iter().for_each(|note| front.policy.note(ms(1), *b, 0, note));
@@ -357,7 +354,7 @@
         (engine(), false, 60_000, false),
     ];
     for (told, out, after, forgotten) in cases {
-        let mut front = Rig::default().start(1);
+        let mut front = usual().start(1);
         let (b, _) = front.take(0, batch(LOOK_UP));
         front.policy.engine(ms(1), 0, told);
         if !out {
@@ -371,11 +368,27 @@
     }
 }
 
+/// Guards against many fronts that each try what is left out, each by hurting a batch.
+#[test]
+fn what_is_left_out_is_tried_by_whose_turn_it_is_alone() {
+    // (whose turn is told, of batches after the wait for a trial those that go there)
+    for (turns, tried) in
+        [(&[][..], true), (&[true][..], true), (&[false][..], false), (&[false, true][..], true)]
+    {
+        let mut front = usual().start(3);
+        (0..2).for_each(|_| front.policy.outcome(ms(0), 2, true, "told"));
+        assert!(front.policy.standing(2).is_some_and(|(failing, _)| failing));
+        turns.iter().for_each(|mine| front.policy.turn(2, *mine));
+        let met = (0..20).filter(|_| sent_to(front.take(10_000, batch(LOOK_UP)).1) == Some(2)).count();
+        assert_eq!(met > 0, tried, "{turns:?}: {met} of 20");
+    }
+}
+
 #[test]
 fn with_most_engines_failing_none_is_left_out() {
     // (engines, of them failing, whether failing ones still get batches)
     for (engines, failing, used) in [(4, 1, false), (4, 2, false), (4, 3, true), (4, 4, true)] {
-        let mut front = Rig::default().start(failing);
+        let mut front = usual().start(failing);
         for at in 0..8 {
             for _ in 0..failing {
                 let (b, place) = front.take(at, batch(LOOK_UP));
@@ -395,7 +408,7 @@
 fn more_out_than_was_borne_binds_and_is_pushed_back_at_once() {
     // One engine of 8 cores: (group, threads, most that may be out before the first is pushed back)
     for (group, most) in [(LOOK_UP, 12), (REPORT, 3), (LOAD, 6)] {
-        let mut front = Rig::default().start(1);
+        let mut front = usual().start(1);
         let mut out = 0;
         for _ in 0..40 {
             match front.take(0, batch(group)).1 {
@@ -419,7 +432,7 @@
         (150, 35, LOOK_UP, 1.0),
         (600, 70, LOAD, 2.0),
     ] {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.fleet.fronts = fronts;
         let mut front = rig.start(engines);
         let share = engines as f64 * 12.0 / fronts as f64;
@@ -434,7 +447,7 @@
 fn a_group_bound_to_one_kind_leaves_the_other_kinds_room() {
     // (fronts, reports bound to kind 1 that fill it, loads that still go, most of them to kind 1)
     for (fronts, reports, loads, to_1) in [(24, 20, 2, 0), (60, 20, 1, 0), (24, 0, 2, 1)] {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.fleet.fronts = fronts;
         rig.groups[REPORT].kinds = Some(vec![1]);
         let mut front = rig.start(8);
@@ -456,7 +469,7 @@
         (60, 800, Some(1.0), 5000, false),
         (60, 100, None, 0, false),
     ] {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.fleet.fronts = fronts;
         let mut front = rig.start(2);
         let mut at = 0;
@@ -492,7 +505,7 @@
     for (fronts, engines, took, grows) in
         [(24, 14, 200, true), (100, 60, 200, true), (100, 60, 2400, false), (150, 35, 200, true)]
     {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.fleet.fronts = fronts;
         let mut front = rig.start(engines);
         let mut peaks = Vec::new();
@@ -523,7 +536,7 @@
         (LOAD, 200, 90, false),
     ] {
         let one = Batch { work: Some(Span::from_millis(work)), time_limit: ms(left), ..batch(group) };
-        let (_, place) = Rig::default().start(2).take(0, one);
+        let (_, place) = usual().start(2).take(0, one);
         assert_eq!(sent_to(place).is_some(), sent, "group {group}, {work} ms, {left} left: {place:?}");
         assert!(sent || matches!(place, Place::PushBack(Some(_))));
     }
@@ -537,7 +550,7 @@
     {
         let mut all = 0.0;
         for me in 0..fronts {
-            let mut rig = Rig::default();
+            let mut rig = usual();
             (rig.fleet.fronts, rig.fleet.me) = (fronts, me);
             let mut front = rig.start(0);
             front.policy.engine(ms(0), 0, Engine { started: Some(ms(0)), ..engine() });
@@ -564,7 +577,7 @@
         (Outcome::TimedOut, 5000, false, true),
         (Outcome::TimedOut, 5000, true, false),
     ] {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.groups[LOOK_UP].waits_for_holder = true;
         let mut front = rig.start(1);
         for at in (0..60_000).step_by(5000) {
@@ -596,7 +609,7 @@
         (Some(0.25), 1200, true),
         (Some(0.1), 1200, false),
     ] {
-        let mut front = Rig::default().start(1);
+        let mut front = usual().start(1);
         let one = Batch { work: Some(Span::from_millis(1000)), ..batch(LOOK_UP) };
         for _ in 0..4 {
             let (b, _) = front.take(0, one.clone());
@@ -613,7 +626,7 @@
 fn floors_thin_out_and_no_further_dispatch_goes_out_in_overload() {
     // (fronts, loads that still go out while all six engines read congested)
     for (fronts, loads) in [(1, 6), (8, 1)] {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.fleet.fronts = fronts;
         let mut front = rig.start(6);
         // Each in a data set of its own, so that they spread over the engines.
@@ -633,7 +646,7 @@
 fn the_bound_ends_a_little_over_a_fronts_share_of_what_engines_hold() {
     // (batches that the engine says it holds for each of this front's, most out after long calm)
     for (times, least, most) in [(None, 7, 12), (Some(4.0), 5, 6), (Some(1.0), 10, 12)] {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.fleet.fronts = 4;
         let mut front = rig.start(1);
         let mut out = Vec::new();
@@ -667,7 +680,7 @@
         (0, false, 0.1, 1, false),
     ];
     for (zone_1, one_set, link_price, kept, one_engine) in cases {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         (rig.caps.link_price, rig.caps.links_kept) = (link_price, Span::from_millis(kept));
         let mut front = rig.start(2);
         front.policy.engine(ms(1), 1, Engine { zone: zone_1, ..engine() });
@@ -685,17 +698,25 @@
 
 #[test]
 fn a_cold_engines_allowance_is_divided_by_the_fronts_that_count() {
-    // (fronts named, fronts counted, whether a batch that is within a third of the allowance goes more than by luck)
-    for (named, counted, goes) in
-        [(3, None, true), (3, Some(3), true), (300, Some(3), true), (3, Some(300), false)]
-    {
-        let mut rig = Rig::default();
+    // (fronts named, fronts counted, part handed out, whether a batch that is within a third of the allowance goes more
+    // than by luck)
+    let cases = [
+        (3, None, None, true),
+        (3, Some(3), None, true),
+        (300, Some(3), None, true),
+        (3, Some(300), None, false),
+        (3, None, Some(0.34), true),
+        (3, None, Some(0.003), false),
+    ];
+    for (named, counted, part, goes) in cases {
+        let mut rig = usual();
         rig.fleet.fronts = named;
         let mut front = rig.start(0);
         counted.into_iter().for_each(|n| front.policy.count(n));
         front.policy.engine(ms(0), 0, Engine { started: Some(ms(0)), ..engine() });
+        front.policy.share(0, part, None);
         let sent = (0..4).filter(|n| sent_to(front.take(n * 3_000, batch(LOOK_UP)).1).is_some()).count();
-        assert_eq!(sent == 4, goes, "{named} named, {counted:?} counted: {sent}");
+        assert_eq!(sent == 4, goes, "{named} named, {counted:?} counted, {part:?}: {sent}");
     }
 }
 
@@ -705,7 +726,7 @@
     for (price, least, most) in
         [(None, 0, 0), (Some(0.0), 1000, 2000), (Some(0.011), 1000, 2000), (Some(0.11), 100, 200)]
     {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         (rig.fleet.fronts, rig.caps.probe_price) = (300, price);
         let mut front = rig.start(2);
         let mut probes = 0;
@@ -721,7 +742,7 @@
 #[test]
 fn a_new_start_clears_a_failing_engine() {
     for (started, used) in [(None, false), (Some(ms(50)), true)] {
-        let mut front = Rig { cold: ColdRule::default(), ..Rig::default() }.start(1);
+        let mut front = Given { cold: ColdRule::default(), ..usual() }.start(1);
         for at in 0..4 {
             let (b, _) = front.take(at, batch(LOOK_UP));
             front.end(at, b, 0, Outcome::Reset, 1);
@@ -738,7 +759,7 @@
 fn batches_that_would_stand_still_go_elsewhere() {
     // (look-ups wait for holders, same data set, goes where the load runs more than by chance)
     for (waits, same) in [(true, true), (true, false), (false, true)] {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         (rig.groups[LOOK_UP].waits_for_holder, rig.groups[LOAD].holds_data) = (waits, true);
         let mut front = rig.start(2);
         let holder = sent_to(front.take(0, batch(LOAD)).1);
@@ -760,7 +781,7 @@
         (REPORT, None, true),
         (LOAD, None, false),
     ] {
-        let mut front = Rig::default().start(2);
+        let mut front = usual().start(2);
         let (b, place) = front.take(0, Batch { work: Some(Span::from_millis(2000)), ..batch(group) });
         assert!(sent_to(place).is_some());
         if let Some(share) = done {
@@ -786,7 +807,7 @@
 fn what_stands_still_past_its_goal_is_called_off_where_engines_page() {
     // (engines page, asked at ms, call it off); the goal is 1.4 s
     for (memory_pages, at, off) in [(true, 1500, true), (true, 1300, false), (false, 1500, false)] {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.caps.memory_pages = memory_pages;
         let mut front = rig.start(1);
         let (b, _) = front.take(0, batch(LOOK_UP));
@@ -799,7 +820,7 @@
 fn what_is_out_for_a_client_that_left_is_called_off() {
     // (may call off, outcome known before the client left, what is called off)
     for (may, ended, off) in [(true, false, vec![0]), (false, false, vec![]), (true, true, vec![])] {
-        let mut rig = Rig::default();
+        let mut rig = usual();
         rig.caps.call_off = may;
         let mut front = rig.start(1);
         let (b, _) = front.take(0, batch(LOAD));
@@ -813,7 +834,7 @@
 #[test]
 fn grants_follow_the_notes_of_spilling() {
     for (spills, more) in [(true, true), (false, false)] {
-        let mut front = Rig::default().start(4);
+        let mut front = usual().start(4);
         let grant = |place| match place {
             Place::Send(Dispatch { memory_mb: Some(mb), .. }) => mb,
             other => panic!("{other:?}"),
@@ -831,7 +852,7 @@
 #[test]
 fn a_customer_beyond_its_share_leaves_room_for_the_others() {
     let customers = vec![Customer { allowance: 2.0 }, Customer { allowance: 100.0 }];
-    let mut front = Rig { customers, ..Rig::default() }.start(1);
+    let mut front = Given { customers, ..usual() }.start(1);
     let of = |customer| Batch { customer: Some(customer), ..batch(LOOK_UP) };
     let first = (0..40).filter(|_| sent_to(front.take(0, of(0)).1).is_some()).count();
     let second = (0..40).filter(|_| sent_to(front.take(0, of(1)).1).is_some()).count();
@@ -840,7 +861,7 @@
 
 #[test]
 fn legal_but_odd_settings_are_decided_on() {
-    let odd: [fn(&mut Rig); 6] = [
+    let odd: [fn(&mut Given); 6] = [
         |r| r.fleet = Fleet::default(),
         |r| r.caps = Caps::default(),
         |r| r.cold = ColdRule::default(),
@@ -850,7 +871,7 @@
     ];
     for (i, change) in odd.iter().enumerate() {
         for engines in [0, 1] {
-            let mut rig = Rig::default();
+            let mut rig = usual();
             change(&mut rig);
             let mut front = rig.start(engines);
             let (b, place) =
@@ -872,7 +893,7 @@
     // What became of its dispatch, and the answer that ends it, with twenty seconds left of its own time.
     let cases = [(0, Outcome::TimedOut, true), (2, Outcome::TimedOut, false), (2, Outcome::Full, true)];
     for (group, outcome, harmless) in cases {
-        let mut front = Rig::default().start(2);
+        let mut front = usual().start(2);
         let (b, place) = front.take(0, batch(group));
         assert!(sent_to(place).is_some());
         front.policy.end_by(ms(3000));
