An overdue trial draws batches to an engine that was left out, however thin traffic

Cause: an engine judged failing gets a trial only where it has most free budget.

Change: each second by which its trial is overdue counts as a thread of free budget.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -52,6 +52,9 @@
 const MOST_FAILING: f64 = 0.5;
 const TRIAL_FIRST: Span = Span::from_millis(1000);
 const TRIAL_MOST: Span = Span::from_millis(8000);
+// Threads of free budget that a second is worth by which a trial is overdue: others that stay freer, warm or
+// close at hand must not keep a sound engine left out for as long as traffic is thin.
+const TRIAL_DRAWS: f64 = 1.0;
 // An engine that comes back sooner is the same one: what a cold one was sent still counts.
 const GONE_FOR: Span = Span::from_millis(10_000);
 // A dispatch should have brought a note by this many periods of notes.
@@ -849,8 +852,9 @@
             // A trial batch is one that may run again. A probe clears none: what answers it may still error.
             let may = group.effect == Effect::Repeatable && !engine.waits;
             let trial = may && now >= engine.health.trial_at;
+            let left_out = trusted && engine.health.failing;
             let pool = pools.get(&engine.told.kind).unwrap_or(&none);
-            if (trusted && engine.health.failing && !trial)
+            if (left_out && !trial)
                 || !engine.budgets.has_room(g, self.threads[g], held.within_share, pool)
                 || !may_repeat(group.effect, held.may_have_run, &engine.told, now, self.caps.clock_step)
             {
@@ -867,6 +871,7 @@
             let stands = (group.waits_for_holder || group.holds_data) && engine.holds(set, now);
             let idle = engine.linked.filter(|_| engine.budgets.batches == 0);
             let at_hand = idle.is_some_and(|at| now.since(at) < self.caps.links_kept);
+            let overdue = if left_out { now.since(engine.health.trial_at).secs() } else { 0.0 };
             // Of two kinds the one whose pool is less full: a group bound to one kind leaves the other idle.
             let spare = (1.0 - pool.fill / pool.bears.max(1e-9)).clamp(-1.0, 1.0) * engine.budgets.foreign();
             let free = engine.budgets.free(g) - engine.crowded(now)
@@ -874,6 +879,7 @@
                 + if engine.warm.contains(&set) { WARM_WORTH } else { 0.0 }
                 + if engine.told.zone == self.fleet.zone { ZONE_WORTH } else { 0.0 }
                 + if at_hand { LINK_WORTH * self.caps.link_price } else { 0.0 }
+                + overdue * TRIAL_DRAWS
                 - if stands || held.last_engine == Some(e) { 1e6 } else { 0.0 };
             // Ties go by lot: `ties` counts those with the most.
             let over = best.map_or(1.0, |(_, most)| free - most);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -384,6 +384,36 @@
     }
 }
 
+/// Guards against a sound engine that thin traffic never comes back to: the others are freer, or warm, for ever.
+#[test]
+fn what_is_left_out_is_tried_in_the_end_however_thin_the_traffic() {
+    // (out at once, seconds by which a sound engine has its part again)
+    for (out, within) in [(1, 20), (3, 20), (6, 20)] {
+        let mut front = usual().start(3);
+        // They are warm, and so is the net.
+        (0..30).for_each(|i| {
+            let (b, place) = front.take(i, batch(LOOK_UP));
+            assert!(sent_to(place).is_some());
+            front.end(i, b, 0, Outcome::Returned, 1);
+        });
+        (0..2).for_each(|_| front.policy.outcome(ms(100), 2, true, "told"));
+        front.policy.engine(ms(100), 2, Engine { zone: 1, ..engine() });
+        let back = (1..=1000).find(|tick| {
+            let at = 100 + tick * 50;
+            front.policy.tick(ms(at));
+            let sent: Vec<_> = (0..out)
+                .map(|_| front.take(at, Batch { time_limit: ms(90_000), ..batch(LOOK_UP) }))
+                .collect();
+            sent.into_iter().filter(|(_, place)| sent_to(*place).is_some()).for_each(|(b, _)| {
+                front.end(at + 10, b, 0, Outcome::Returned, 10);
+            });
+            front.policy.standing(2) == Some((false, false))
+        });
+        let back = back.map(|tick| tick * 50 / 1000);
+        assert!(back.is_some_and(|s| s <= within), "{out} out: back after {back:?} s");
+    }
+}
+
 #[test]
 fn with_most_engines_failing_none_is_left_out() {
     // (engines, of them failing, whether failing ones still get batches)
