All waits that end by a time go through our own timer, on a thread of its own

The timer parked by a time of the coroutine crate's, whose park arms the time before it stores the coroutine; a worker that loses its core in between leaves it there. Lists that are added to from two threads while a third takes out are the other candidate; both are gone with this.

Change: state/alarms.rs, one ordered structure of whoever waits for a time, which the timer goes through as an OS thread. Rests of batches, seats, pages and all sleeps use it; no coroutine runs beside the worker any more. facade.rs loses its own due times.

--- a/front/src/board.rs
+++ b/front/src/board.rs
@@ -1,7 +1,7 @@
 //! Follows the notice board: connected for as long as it speaks, connected again when it does not.
 
 use crate::state::State;
-use crate::state::clock::{sleep, wait};
+use crate::state::clock::wait;
 use crate::wire::board::{self, Event, Frame};
 use larchfall::time::Span;
 use may::net::TcpStream;
@@ -28,7 +28,7 @@
         let reason = listen(state, address, era, &mut frames);
         info!(state.log, "notice board connection ended"; "reason" => reason, "frames" => frames);
         pause = if frames > 0 { FIRST_PAUSE } else { (pause * 2.0).min(LONGEST_PAUSE) };
-        sleep(pause * (0.5 + 0.5 * chance.generate::<f64>()));
+        state.sleep(pause * (0.5 + 0.5 * chance.generate::<f64>()));
     }
 }
 
--- a/front/src/doors/rest.rs
+++ b/front/src/doors/rest.rs
@@ -4,7 +4,7 @@
 use super::Reason;
 use crate::intake::{self, Refused};
 use crate::state::State;
-use crate::state::clock::{sleep, wait};
+use crate::state::clock::wait;
 use crate::state::lock;
 use crate::state::pages::{Found, Pages};
 use crate::task::{Final, Reader};
@@ -80,7 +80,7 @@
 pub fn accept(state: &Arc<State>, listener: &TcpListener, door: &Arc<Door>) {
     loop {
         if door.clients() >= door.connections || state.heart.starves_others(state.clock.now()) {
-            sleep(PAUSE);
+            state.sleep(PAUSE);
             continue;
         }
         match listener.accept() {
@@ -92,7 +92,7 @@
             }
             Err(e) => {
                 warn!(state.log, "accept: {}", e);
-                sleep(PAUSE);
+                state.sleep(PAUSE);
             }
         }
     }
@@ -179,7 +179,7 @@
 /// being heard.
 fn let_others(state: &State) {
     while state.heart.starves_others(state.clock.now()) {
-        sleep(PAUSE);
+        state.sleep(PAUSE);
     }
 }
 
@@ -368,7 +368,7 @@
 
 fn found(state: &State, door: &Door, place: Place, began: At) -> Found {
     let empty = || Body { elapsed_ms: state.clock.now().since(began).micros() / 1000, ..Body::default() };
-    door.pages.ask(place, &state.clock, door.site().poll, empty)
+    door.pages.ask(place, (&state.clock, &state.alarms), door.site().poll, empty)
 }
 
 fn settle(state: &State, settled: Option<Settled>) {
--- a/front/src/doors/rpc.rs
+++ b/front/src/doors/rpc.rs
@@ -2,7 +2,6 @@
 
 use super::Reason;
 use crate::intake::{self, Refused};
-use crate::state::clock::sleep;
 use crate::state::peer::{Opening, Peer};
 use crate::state::{State, lock};
 use crate::task::{Final, Reader};
@@ -100,7 +99,7 @@
             // would keep all others from being heard.
             while rounds >= BURST || state.heart.starves_others(state.clock.now()) {
                 rounds = 0;
-                sleep(PAUSE);
+                state.sleep(PAUSE);
             }
             continue;
         }
--- a/front/src/engines/platform.rs
+++ b/front/src/engines/platform.rs
@@ -2,7 +2,6 @@
 
 use crate::engines::link::{Fault, Link, NoLink};
 use crate::state::State;
-use crate::state::clock::{sleep, wait};
 use crate::state::engines::Home;
 use crate::task::{Ended, Task};
 use crate::wire::http::{self, Reply, Start};
@@ -12,7 +11,6 @@
 use slog::{info, warn};
 use std::cell::Cell;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// An engine answers a call for news after 250 ms at the latest; a connection that takes longer than this
 /// hangs, and another is opened: a result that is there waits meanwhile, and its engine looks slow.
@@ -94,7 +92,7 @@
 
     /// Without a seat nothing was sent, and that says nothing of the engine.
     pub fn make(&self) -> Ended {
-        if !self.state.pool.take_seat(self.to.priority, wait(SEAT_WITHIN)) {
+        if !self.state.pool.take_seat(self.to.priority, Some((&self.state.alarms, self.sent + SEAT_WITHIN))) {
             return not_sent(Outcome::Moot);
         }
         self.seated.set(true);
@@ -120,7 +118,7 @@
         };
         let deaf = self.state.heart.deaf_for(self.state.clock.now());
         if deaf > Span::ZERO {
-            sleep(deaf);
+            self.state.sleep(deaf);
         }
         // Its client left while it waited for this connection, or the list moved its engine: another process may
         // have the address, of another kind, cold, or with nothing to do with the one that was picked.
@@ -178,7 +176,7 @@
                     link = self.keep(link, reply.closes);
                     if reply.note.is_none() && self.state.clock.now().since(began) < PAUSE {
                         // Against an engine that has no news and does not hold the call back.
-                        sleep(PAUSE);
+                        self.state.sleep(PAUSE);
                     }
                 }
                 Ok(reply) if reply.status == 200 => return self.collect(link, reply),
@@ -205,7 +203,7 @@
                     faults += 1;
                     // A connection that was cut is asked after at once, and only then with rests between.
                     if pause > Span::ZERO && faults > 1 {
-                        sleep(pause);
+                        self.state.sleep(pause);
                     }
                 }
             }
@@ -290,7 +288,7 @@
     /// Fetches no more than the reader has room for. The engine is asked meanwhile, or it would forget the result.
     fn wait_for_reader(&self, link: &mut Option<Link>, report: Report) -> Option<Ended> {
         while !self.task.reader.has_room() {
-            sleep(PAUSE);
+            self.state.sleep(PAUSE);
             let outcome = match self.look() {
                 Look::GoOn => None,
                 Look::CallOff => Some(Outcome::CalledOff),
@@ -390,7 +388,7 @@
             if now >= until {
                 return self.end(Last::Silent, outcome);
             }
-            sleep(PAUSE);
+            self.state.sleep(PAUSE);
         }
     }
 
@@ -460,7 +458,7 @@
 
 /// Asks an engine for its load report; dispatches come first.
 pub fn probe(state: &State, e: usize) -> Option<Report> {
-    let home = state.facade.home(e).filter(|_| state.pool.take_seat(0, Duration::ZERO))?;
+    let home = state.facade.home(e).filter(|_| state.pool.take_seat(0, None))?;
     state.counters.rest(|c| c.probes += 1);
     let until = state.clock.now() + state.connect_within;
     let mut told = None;
--- a/front/src/fronts/mod.rs
+++ b/front/src/fronts/mod.rs
@@ -8,7 +8,7 @@
 pub mod signals;
 
 use crate::state::State;
-use crate::state::clock::{sleep, wait};
+use crate::state::clock::wait;
 use crate::state::facade::Verdict;
 use crate::state::lock;
 use duties::Duty;
@@ -302,7 +302,7 @@
         }
         if taken >= MOST {
             one(&fronts.counters.over_budget);
-            sleep((window + EACH).since(now).max(Span::from_millis(1)));
+            state.sleep((window + EACH).since(now).max(Span::from_millis(1)));
             continue;
         }
         let due_in = fronts.duties.as_ref().map(|duties| duties.due_in());
@@ -321,7 +321,7 @@
             // Where a member's port is closed the next receive says so: that is one more lost datagram.
             Ok(_) => {}
             Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {}
-            Err(_) => sleep(Span::from_millis(5)),
+            Err(_) => state.sleep(Span::from_millis(5)),
         }
     }
 }
--- a/front/src/run/reload.rs
+++ b/front/src/run/reload.rs
@@ -6,7 +6,6 @@
 use crate::doors::rest::Door;
 use crate::fronts::Fronts;
 use crate::state::State;
-use crate::state::clock::sleep;
 use larchfall::time::Span;
 use larchfall_site::Site;
 use may::io::CoIo;
@@ -85,7 +84,7 @@
             Ok(read) => return Some(read),
             Err(why) => warn!(state.log, "configuration not taken: {}", why; "attempt" => attempt),
         }
-        sleep(PAUSE);
+        state.sleep(PAUSE);
     }
     None
 }
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -10,7 +10,8 @@
 use crate::fronts::signals::Signals;
 use crate::fronts::{self, Fronts};
 use crate::state::State;
-use crate::state::clock::{Clock, sleep};
+use crate::state::alarms::Alarms;
+use crate::state::clock::Clock;
 use crate::state::counters::Counters;
 use crate::state::facade::Facade;
 use crate::state::heart::Heart;
@@ -111,6 +112,11 @@
     if let (Some(keeper), Some(fronts)) = (keeper, &fronts) {
         keeper.run(&state, fronts).map_err(|e| (1, format!("the thread that keeps records: {e}")))?;
     }
+    let (timed, door) = (state.clone(), rest.as_ref().map(|(door, ..)| door.clone()));
+    let timer = std::thread::Builder::new().name("timer".to_owned());
+    timer
+        .spawn(move || timer::run(&timed, door.as_ref()))
+        .map_err(|e| (1, format!("the timer's thread: {e}")))?;
     let main = {
         let state = state.clone();
         may::go!(move || {
@@ -121,10 +127,8 @@
             if let Some(subset) = subset {
                 subset::start(&state, fronts.clone(), subset);
             }
-            let (s1, s2, s3) = (state.clone(), state.clone(), state.clone());
+            let (s2, s3) = (state.clone(), state.clone());
             let door = rest.as_ref().map(|(door, ..)| door.clone());
-            let of_timer = door.clone();
-            may::go!(move || timer::run(&s1, of_timer.as_ref()));
             let era = s2.next_board();
             may::go!(move || board::follow(&s2, board_address, seed, era));
             if let Some(asked) = signals.reload.take() {
@@ -197,6 +201,7 @@
     let referenced = s.given.groups.iter().map(|g| matches!(g.effect, Effect::Referenced { .. })).collect();
     let come_back = s.given.caps.come_back;
     let caps = Caps { forgets: Some(RUNS_ON), links_kept: Pool::kept(s.idle_close), ..s.given.caps };
+    let alarms = Arc::new(Alarms::new(clock));
     let policy = Policy::new(seed, Given { caps, ..s.given });
     State {
         clock,
@@ -207,7 +212,8 @@
         referenced,
         come_back,
         connect_within: s.connect_within,
-        facade: Facade::new(policy, clock, limits.batches),
+        facade: Facade::new(policy, clock, limits.batches, alarms.clone()),
+        alarms,
         peers: Peers::new(limits.unread),
         pool: Pool::new(limits.engine_links, s.idle_close),
         heart: Heart::start(clock.now()),
@@ -232,7 +238,7 @@
             state.peers.make_room(spare, state.clock.now() - FRESH);
         }
         if state.peers.len() >= most || state.heart.starves_others(state.clock.now()) {
-            sleep(PAUSE);
+            state.sleep(PAUSE);
             continue;
         }
         match listener.accept() {
@@ -243,7 +249,7 @@
             }
             Err(e) => {
                 warn!(state.log, "accept: {}", e);
-                sleep(PAUSE);
+                state.sleep(PAUSE);
             }
         }
     }
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -4,7 +4,6 @@
 use crate::doors::rest::Door;
 use crate::fronts::Fronts;
 use crate::state::State;
-use crate::state::clock::sleep;
 use larchfall::time::Span;
 use may::io::CoIo;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
@@ -75,7 +74,7 @@
     info!(state.log, "told to stop"; "in_hand" => state.facade.in_hand(), "clients" => state.peers.len());
     let killed = ends + LAST_ANSWERS;
     loop {
-        sleep(LOOK);
+        state.sleep(LOOK);
         let now = state.clock.now();
         // Half-read results go on until then.
         let read = door.is_none_or(|door| door.pages.unread() == 0);
@@ -94,7 +93,7 @@
     // What was read between the last look and here was taken, and gets its answer as all else did.
     let goes_on = |now| (is_owed(state) && now < killed) || (open() > 0 && now < until);
     while goes_on(state.clock.now()) {
-        sleep(LOOK);
+        state.sleep(LOOK);
     }
 }
 
--- a/front/src/state/clock.rs
+++ b/front/src/state/clock.rs
@@ -1,7 +1,6 @@
 //! A steady clock, set once against the Unix clock: a step of that one moves no time limit.
 
 use larchfall::time::{At, Span};
-use may::sync::Blocker;
 use std::time::{Duration, Instant};
 
 #[derive(Clone, Copy)]
@@ -31,20 +30,3 @@
 pub fn wait(span: Span) -> Duration {
     Duration::from_millis(span.micros().div_ceil(1000))
 }
-
-/// Rests, and goes on at the worker. Where a wait ends by its time the coroutine crate goes on at its own timer's thread,
-/// beside the worker: what then waits on a socket there takes entries out of lists that only the worker may touch, and
-/// memory is spoilt (seen as an abort in a fleet under faults). A yield leads back.
-pub fn sleep(span: Span) {
-    may::coroutine::sleep(wait(span));
-    may::coroutine::yield_now();
-}
-
-/// Parks for so long at most, and goes on at the worker as `sleep` does; whether it was woken.
-pub fn park(blocker: &Blocker, most: Duration) -> bool {
-    let woken = blocker.park(Some(most)).is_ok();
-    if !woken {
-        may::coroutine::yield_now();
-    }
-    woken
-}
--- a/front/src/state/facade.rs
+++ b/front/src/state/facade.rs
@@ -1,8 +1,8 @@
 //! The decisions in blocking style. Nothing else calls the module: a batch is taken, asked about with `pick`,
 //! rests while it has to wait, and each dispatch's outcome goes to `report`; `tick` runs from the one timer.
 
+use super::alarms::Alarms;
 use super::clock::Clock;
-use super::due::Due;
 use super::engines::{Engines, Home};
 use super::lock;
 use crate::wire::board::Event;
@@ -46,7 +46,6 @@
     id: u64,
     /// The client left; `true` inside when what is out is to be called off.
     left: Option<bool>,
-    due: Option<At>,
     resting: Option<Arc<Blocker>>,
 }
 
@@ -55,8 +54,6 @@
     engines: Engines,
     hand: Slab<InHand>,
     ids: HashSet<u64>,
-    due: Due,
-    timer: Option<Arc<Blocker>>,
     came: Came,
     careful: Option<f64>,
     /// Engines that this front uses, by id, where it does not use all, and the part of each that is its own.
@@ -80,25 +77,14 @@
     inner: Mutex<Inner>,
     clock: Clock,
     most: usize,
+    alarms: Arc<Alarms>,
 }
 
 impl Facade {
-    pub fn new(policy: Policy, clock: Clock, most: usize) -> Facade {
-        let (engines, hand, due) = (Engines::default(), Slab::new(), Due::default());
-        let (ids, came) = (HashSet::new(), Came::default());
-        let inner = Inner {
-            policy,
-            engines,
-            hand,
-            ids,
-            due,
-            timer: None,
-            came,
-            careful: None,
-            used: None,
-            sights: None,
-        };
-        Facade { inner: Mutex::new(inner), clock, most }
+    pub fn new(policy: Policy, clock: Clock, most: usize, alarms: Arc<Alarms>) -> Facade {
+        let (engines, hand, ids, came) = (Engines::default(), Slab::new(), HashSet::new(), Came::default());
+        let inner = Inner { policy, engines, hand, ids, came, careful: None, used: None, sights: None };
+        Facade { inner: Mutex::new(inner), clock, most, alarms }
     }
 
     pub fn take(&self, id: u64, batch: Batch) -> Result<usize, NotTaken> {
@@ -128,22 +114,16 @@
     /// Blocks until it is time to ask again, or something happened to the batch.
     pub fn rest(&self, b: usize) {
         let blocker = Blocker::current();
-        {
+        let at = {
             let mut guard = lock(&self.inner);
             let inner = &mut *guard;
             let at = inner.policy.wait(self.clock.now(), b);
             let Some(hand) = inner.hand.get_mut(b).filter(|h| h.left.is_none()) else { return };
             hand.resting = Some(blocker.clone());
-            if let Some(old) = hand.due.replace(at) {
-                inner.due.remove(old, b);
-            }
-            if inner.due.insert(at, b)
-                && let Some(timer) = &inner.timer
-            {
-                timer.unpark();
-            }
-        }
-        let _ = blocker.park(None);
+            at
+        };
+        self.alarms.park(&blocker, at);
+        lock(&self.inner).hand.get_mut(b).into_iter().for_each(|hand| hand.resting = None);
     }
 
     /// What became of a dispatch, and what to do after it.
@@ -259,9 +239,6 @@
         let inner = &mut *guard;
         let Some(hand) = inner.hand.try_remove(b) else { return };
         inner.ids.remove(&hand.id);
-        if let Some(at) = hand.due {
-            inner.due.remove(at, b);
-        }
     }
 
     pub fn in_hand(&self) -> usize {
@@ -378,22 +355,6 @@
         lock(&self.inner).engines.id(e)
     }
 
-    /// Wakes the batches that have come due; the time of the next.
-    pub fn wake_due(&self, timer: &Arc<Blocker>) -> Option<At> {
-        let mut guard = lock(&self.inner);
-        let inner = &mut *guard;
-        inner.timer = Some(timer.clone());
-        for b in inner.due.take(self.clock.now()) {
-            if let Some(hand) = inner.hand.get_mut(b) {
-                hand.due = None;
-                if let Some(resting) = hand.resting.take() {
-                    resting.unpark();
-                }
-            }
-        }
-        inner.due.first()
-    }
-
     /// Takes in an event of the notice board; the engines whose connections are of no more use.
     pub fn follow(&self, event: &Event) -> Vec<usize> {
         let mut guard = lock(&self.inner);
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! What one front keeps in memory. Nothing here does input or output on its own; no lock is held across a wait.
 
+pub mod alarms;
 pub mod clock;
 pub mod counters;
 pub mod due;
@@ -12,6 +13,7 @@
 pub mod pool;
 pub mod seats;
 
+use alarms::Alarms;
 use clock::Clock;
 use counters::Counters;
 use facade::Facade;
@@ -24,7 +26,7 @@
 use pool::Pool;
 use slog::{Logger, info};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// All parts of a front, shared by its coroutines.
 pub struct State {
@@ -42,6 +44,7 @@
     pub connect_within: Span,
     pub limits: Limits,
     pub heart: Heart,
+    pub alarms: Arc<Alarms>,
     pub facade: Facade,
     pub peers: Peers,
     pub pool: Pool,
@@ -64,6 +67,11 @@
         *lock(&self.ends)
     }
 
+    /// Rests for so long.
+    pub fn sleep(&self, span: Span) {
+        self.alarms.sleep(span);
+    }
+
     pub fn is_done(&self) -> bool {
         self.done.load(Ordering::Relaxed)
     }
--- a/front/src/state/pages.rs
+++ b/front/src/state/pages.rs
@@ -1,7 +1,8 @@
 //! Open results of the paged protocol, and who waits for a page of them. The bounds are the cursor's; here is who
 //! sleeps and who is woken.
 
-use super::clock::{Clock, park, wait};
+use super::alarms::Alarms;
+use super::clock::Clock;
 use super::lock;
 use larchfall::time::{At, Span};
 use larchfall_rest::cursor::{Ask, End, Page, Settled};
@@ -76,7 +77,13 @@
     }
 
     /// The page at this place, waited for as long as `within`; a page without rows after that.
-    pub fn ask(&self, place: Place, clock: &Clock, within: Span, empty: impl Fn() -> Body) -> Found {
+    pub fn ask(
+        &self,
+        place: Place,
+        (clock, alarms): (&Clock, &Alarms),
+        within: Span,
+        empty: impl Fn() -> Body,
+    ) -> Found {
         let until = clock.now() + within;
         loop {
             let blocker = Blocker::current();
@@ -93,7 +100,7 @@
                     Ask::Wait => inner.waiting.entry(place.name.number).or_default().push(blocker.clone()),
                 }
             }
-            park(&blocker, wait(until.since(clock.now())).max(wait(Span::from_millis(1))));
+            alarms.park(&blocker, until);
             let mut inner = lock(&self.inner);
             if let Some(waiting) = inner.waiting.get_mut(&place.name.number) {
                 waiting.retain(|other| !Arc::ptr_eq(other, &blocker));
--- a/front/src/state/pool.rs
+++ b/front/src/state/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to engines: how many may be open, and the idle ones. A connection in use belongs to the
 //! coroutine that took it.
 
+use super::alarms::Alarms;
 use super::engines::Home;
 use super::lock;
 use super::seats::Seats;
@@ -8,7 +9,6 @@
 use larchfall::time::{At, Span};
 use std::collections::BTreeMap;
 use std::sync::Mutex;
-use std::time::Duration;
 
 /// One in so many connections is left to idle ones when all seats are taken: without any, each dispatch would
 /// open a connection of its own.
@@ -55,8 +55,8 @@
 
     /// A seat is the right to one connection at a time. It is taken for a whole dispatch, so that what was
     /// sent can always be asked for and given up; false when none came free in time.
-    pub fn take_seat(&self, priority: u8, within: Duration) -> bool {
-        let seated = self.seats.take(priority, within);
+    pub fn take_seat(&self, priority: u8, wait: Option<(&Alarms, At)>) -> bool {
+        let seated = self.seats.take(priority, wait);
         if seated {
             lock(&self.idle).seated += 1;
         }
--- a/front/src/state/seats.rs
+++ b/front/src/state/seats.rs
@@ -2,13 +2,13 @@
 //! module gave, then in turn: while seats are short, they are where batches meet first, and a plain queue would
 //! let the many short ones keep the few of a higher rank out.
 
-use super::clock::park;
+use super::alarms::Alarms;
 use super::lock;
+use larchfall::time::At;
 use may::sync::Blocker;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 pub struct Seats {
     inner: Mutex<Inner>,
@@ -26,8 +26,8 @@
         Seats { inner: Mutex::new(Inner { free, waiting: BTreeMap::new(), came: 0 }) }
     }
 
-    /// Takes a seat, or waits for one that long; false when none came free in time.
-    pub fn take(&self, priority: u8, within: Duration) -> bool {
+    /// Takes a seat, or waits for one until then; false when none came free in time.
+    pub fn take(&self, priority: u8, wait: Option<(&Alarms, At)>) -> bool {
         let blocker = Blocker::current();
         let place = {
             let mut inner = lock(&self.inner);
@@ -35,7 +35,7 @@
                 inner.free -= 1;
                 return true;
             }
-            if within.is_zero() {
+            if wait.is_none() {
                 return false;
             }
             inner.came += 1;
@@ -43,7 +43,7 @@
             inner.waiting.insert(place, blocker.clone());
             place
         };
-        park(&blocker, within);
+        wait.into_iter().for_each(|(alarms, until)| alarms.park(&blocker, until));
         // Who is no longer waiting was given a seat, be it at the last moment.
         lock(&self.inner).waiting.remove(&place).is_none()
     }
--- a/front/src/subset.rs
+++ b/front/src/subset.rs
@@ -3,7 +3,6 @@
 
 use crate::fronts::Fronts;
 use crate::state::State;
-use crate::state::clock::sleep;
 use larchfall::interface::{Fleet, ServiceGroup};
 use larchfall_site::Subsets;
 use larchfall_subsets::aperture::{Aperture, Sight};
@@ -88,7 +87,7 @@
         }
         let parts = used.iter().filter_map(|id| Some((*id, made.plan.part(*id)?))).collect();
         state.facade.use_engines(&used, parts);
-        sleep(subset.site.look);
+        state.sleep(subset.site.look);
     }
 }
 
--- a/front/src/timer.rs
+++ b/front/src/timer.rs
@@ -1,4 +1,5 @@
-//! The one timer: the module's tick, the due times of batches that rest, and what is looked at each tick.
+//! The one timer: the module's tick, whoever waits for a time, and what is looked at each tick. A thread of its own, which
+//! waits on no socket: it comes by on time however much there is to run.
 
 use crate::doors::rest;
 use crate::doors::rpc::{QUIET, WHOLE_WITHIN};
@@ -18,7 +19,7 @@
     let blocker = Blocker::current();
     let mut next_tick = state.clock.now() + TICK;
     loop {
-        let next_due = state.facade.wake_due(&blocker);
+        let next_due = state.alarms.ring(&blocker);
         let now = state.clock.now();
         if state.heart.beat(now) {
             warn!(state.log, "this front stood still");
@@ -34,8 +35,6 @@
         let until = next_due.map_or(next_tick, |due| due.min(next_tick)).min(now + BEAT);
         let left = state.clock.left(until);
         if !left.is_zero() {
-            // Not led back to the worker, as `clock::park` would: it waits on no socket, and ticks on time however much
-            // there is to run.
             let _ = blocker.park(Some(left));
             let lag = state.clock.now().since(until).micros() / 1000;
             state.counters.rest(|c| c.most_lag_ms = c.most_lag_ms.max(lag));
--- a/front/tests/front/memory.rs
+++ b/front/tests/front/memory.rs
@@ -8,7 +8,8 @@
 use larchfall_front::run::command::{Asked, Task, parse};
 use larchfall_front::run::config;
 use larchfall_front::run::parts::unix_time;
-use larchfall_front::state::clock::{Clock, park, sleep, wait};
+use larchfall_front::state::alarms::Alarms;
+use larchfall_front::state::clock::{Clock, wait};
 use larchfall_front::state::counters::Counters;
 use larchfall_front::state::due::Due;
 use larchfall_front::state::engines::{Changes, Engines, Home};
@@ -24,7 +25,9 @@
 use may::sync::Blocker;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 
 fn ms(n: u64) -> At {
@@ -141,6 +144,23 @@
 
 const SOON: Duration = Duration::from_secs(20);
 
+/// Alarms and the timer that goes through them, for as long as somebody has them.
+fn alarms() -> (Clock, Arc<Alarms>) {
+    let clock = Clock::start(unix_time());
+    let alarms = Arc::new(Alarms::new(clock));
+    let all = Arc::downgrade(&alarms);
+    thread::spawn(move || {
+        let timer = Blocker::current();
+        while let Some(alarms) = all.upgrade() {
+            let next = alarms.ring(&timer);
+            drop(alarms);
+            let _ =
+                timer.park(Some(next.map_or(SOON, |next| clock.left(next)).min(Duration::from_millis(20))));
+        }
+    });
+    (clock, alarms)
+}
+
 /// Runs this as the program does: on coroutines of one worker, which is what its connections are made for.
 fn in_coroutine(run: impl FnOnce() + Send + 'static) {
     may::config().set_workers(1).set_stack_size(16 * 1024);
@@ -182,16 +202,17 @@
     in_coroutine(|| {
         let engine = Engine::start("127.0.0.1:0", |_| Act::Decline).unwrap();
         let pool = Pool::new(2, Span::from_millis(10_000));
-        assert!(pool.take_seat(1, Duration::ZERO) && pool.take_seat(1, Duration::ZERO));
-        assert!(!pool.take_seat(1, Duration::ZERO), "all taken");
-        assert!(!pool.take_seat(1, Duration::from_millis(1)), "none came free");
+        let (clock, alarms) = alarms();
+        assert!(pool.take_seat(1, None) && pool.take_seat(1, None));
+        assert!(!pool.take_seat(1, None), "all taken");
+        assert!(!pool.take_seat(1, Some((&alarms, clock.now() + Span::from_millis(1)))), "none came free");
         for e in 0..4 {
             pool.keep(e, Link::open(v4(engine.address), SOON).unwrap(), ms(e as u64));
         }
         assert_eq!(pool.open(), (2, 1), "only the giver's own may stay beside two seats");
         pool.leave_seat();
         pool.leave_seat();
-        assert!(pool.take_seat(1, Duration::ZERO));
+        assert!(pool.take_seat(1, None));
         assert!(pool.idle(3, v4(engine.address), ms(5)).is_some(), "the youngest was kept");
     });
 }
@@ -200,15 +221,17 @@
 fn seats_go_by_priority_then_in_turn() {
     in_coroutine(|| {
         let seats = Arc::new(Seats::new(1));
-        assert!(seats.take(1, Duration::ZERO) && !seats.take(3, Duration::ZERO));
+        let (clock, alarms) = alarms();
+        let (all, within) = (alarms.clone(), move |wait| clock.now() + Span::from_millis(wait));
+        assert!(seats.take(1, None) && !seats.take(3, None));
         let order = Arc::new(Mutex::new(Vec::new()));
         let waiting: Vec<_> = [(1, 'a'), (3, 'b'), (1, 'c'), (2, 'd'), (3, 'e')]
             .into_iter()
             .map(|(priority, name)| {
                 let before = seats.waiting();
-                let (theirs, order) = (seats.clone(), order.clone());
+                let (theirs, order, alarms) = (seats.clone(), order.clone(), alarms.clone());
                 let waits = may::go!(move || {
-                    let seated = theirs.take(priority, SOON);
+                    let seated = theirs.take(priority, Some((&alarms, within(20_000))));
                     order.lock().unwrap().push(name);
                     theirs.leave();
                     seated
@@ -222,10 +245,10 @@
         seats.leave();
         assert!(waiting.into_iter().all(|w| w.join().unwrap()));
         assert_eq!(order.lock().unwrap().iter().collect::<String>(), "bedac");
-        assert!(seats.take(1, Duration::ZERO), "the last one left it free");
-        assert!(!seats.take(1, Duration::from_millis(1)), "none came free");
+        assert!(seats.take(1, None), "the last one left it free");
+        assert!(!seats.take(1, Some((&all, within(1)))), "none came free");
         seats.leave();
-        assert!(seats.take(1, Duration::ZERO), "who gave up waiting holds none");
+        assert!(seats.take(1, None), "who gave up waiting holds none");
     });
 }
 
@@ -434,19 +457,51 @@
     }
 }
 
-/// Guards against sockets that are waited on beside the worker: a wait that ends by its time goes on at the timer's thread.
+/// Guards against sockets that are waited on beside the worker: what the coroutine crate's own timer lets go on runs on that
+/// timer's thread.
 #[test]
 fn after_a_rest_and_a_park_a_coroutine_goes_on_at_the_worker() {
     may::config().set_workers(1);
-    let here = || std::thread::current().id();
+    let (clock, alarms) = alarms();
+    let here = || thread::current().id();
     let at = may::go!(move || {
         let before = here();
-        sleep(Span::from_millis(3));
+        alarms.sleep(Span::from_millis(3));
         let rested = here();
-        let woken = park(&Blocker::current(), Duration::from_millis(3));
-        (before, rested, woken, here())
+        alarms.park(&Blocker::current(), clock.now() + Span::from_millis(3));
+        (before, rested, here(), alarms.asleep())
+    });
+    let (before, rested, parked, asleep) = at.join().unwrap();
+    assert_eq!((before, before, 0), (rested, parked, asleep));
+}
+
+/// Guards against a wait that never ends: the crate's own park sets its time before it has put the coroutine where that time
+/// looks for it, and a worker that loses its core in between for so long leaves it there.
+#[test]
+fn every_wait_ends_however_busy_the_machine() {
+    may::config().set_workers(1);
+    let (_, alarms) = alarms();
+    let (over, ended) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let busy = thread::available_parallelism().map_or(4, |n| n.get() * 4);
+    let busy: Vec<_> = (0..busy)
+        .map(|_| {
+            let over = over.clone();
+            thread::spawn(move || while !over.load(Ordering::Relaxed) {})
+        })
+        .collect();
+    let (sleepers, times) = (40, 25);
+    for _ in 0..sleepers {
+        let (alarms, ended) = (alarms.clone(), ended.clone());
+        may::go!(move || {
+            for _ in 0..times {
+                alarms.sleep(Span::from_millis(1));
+                ended.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+    }
+    common::wait_for("all waits to end", || {
+        (ended.load(Ordering::Relaxed) == sleepers * times).then_some(())
     });
-    let (before, rested, woken, parked) = at.join().unwrap();
-    assert_eq!((before, woken), (rested, false));
-    assert_eq!(before, parked);
+    over.store(true, Ordering::Relaxed);
+    busy.into_iter().for_each(|thread| thread.join().unwrap());
 }
