--- a/rig/src/audit.rs
+++ b/rig/src/audit.rs
@@ -11,7 +11,8 @@
 /// What a board has to tell counts as told so long after, whether or not it arrived.
 const TOLD_WITHIN: Duration = Duration::from_secs(7);
 
-/// What stood on its way while that stood still comes in within so long after it goes on again.
+/// What is under way as a way begins to stand still is held up with it; what stood on it comes in within so long after it
+/// goes on again.
 const COMES_IN: Duration = Duration::from_millis(500);
 
 /// How a batch ended for its client.
@@ -174,8 +175,11 @@
             let there = self.ledger.came.iter().filter(|c| c.process == *process);
             let late = there.into_iter().find(|c| {
                 let front = self.sent.get(&c.id).map(|sent| sent.front);
-                let cut =
-                    self.unheard.iter().find(|(f, from, to)| Some(*f) == front && from <= at && at < to);
+                // Told just before it was cut, it may not have been heard.
+                let cut = self
+                    .unheard
+                    .iter()
+                    .find(|(f, from, to)| Some(*f) == front && *from <= *at + COMES_IN && at < to);
                 let last = cut.map_or(*at, |(_, _, to)| (*at + TOLD_WITHIN).min(*to)) + self.grace;
                 let was_sent_before = self.stood.iter().any(|(f, e, from, to)| {
                     (Some(*f), e) == (front, process) && *from <= last && c.at >= *to && c.at < *to + COMES_IN
--- a/rig/src/script.rs
+++ b/rig/src/script.rs
@@ -376,7 +376,7 @@
                 fleet.begin(front);
                 begun(fleet, front);
             }
-            Step::Stop { front } => fleet.front(front).signal("-STOP"),
+            Step::Stop { front } => fleet.front(front).stop(),
             Step::Wake { front } => fleet.front(front).signal("-CONT"),
             Step::CutOff { front } => fleet.net.set(|a, b| (a == front) != (b == front), cut),
             Step::OneWay { from, to } => fleet.net.set(|a, b| (a, b) == (from, to), cut),
--- a/rig/tests/rules.rs
+++ b/rig/tests/rules.rs
@@ -96,6 +96,9 @@
         (vec![came("a", 2_700)], vec![], one("look", &returned), Some(at(100)), ""),
         (vec![came("a", 3_200)], vec![], one("look", &returned), Some(at(100)), "draining engine"),
         (vec![came("a", 7_500)], vec![], one("look", &returned), Some(at(4_000)), ""),
+        // Told as the way was about to be cut, and long enough before that.
+        (vec![came("a", 7_500)], vec![], one("look", &returned), Some(at(2_800)), ""),
+        (vec![came("a", 4_600)], vec![], one("look", &returned), Some(at(2_400)), "draining engine"),
         (vec![came("a", 8_100)], vec![], one("look", &returned), Some(at(4_000)), "draining engine"),
         (vec![came("a", 1); 4], vec![], one("look", &returned), None, "further dispatches in a window"),
     ];
