A front that wakes hears its board before it sends: a wait that is over has one more look

Its log: 'notice board connection ended, reason: silent' 33 ms after it woke, since the wait of 2.5 s for the board was over although frames lay unread; the board is connected to again after 50 to 100 ms, but sending was held back for 60 ms only. Named lines: board.rs, the end on a timed-out read; heart.rs, CATCH_UP. What was picked in those 60 ms also counted as fresh, and went to an engine that drains by then (platform.rs, FRESH).

Change: after a timed-out read one more look; after a stall of a second nothing is sent until the board was heard since, for a second at most; then nothing that was picked before goes to an engine that drains.

Test: the program stopped for 1.5 and 3.2 s with the way to its board sound or cut meanwhile; without each of the parts it fails (1,500 ms: fresh; 3,200 ms and cut: the hold). A table of the heart's.

--- a/front/src/board.rs
+++ b/front/src/board.rs
@@ -14,6 +14,8 @@
 
 /// An empty frame comes each second: after this much silence nobody is there.
 const SILENCE: Span = Span::from_millis(2500);
+/// One last look once that is over: for a front that stood still it is, and all that was said meanwhile is unread.
+const LAST_LOOK: Span = Span::from_millis(20);
 const CONNECT_WITHIN: Span = Span::from_millis(500);
 /// Pauses before connecting again, drawn between half and the whole; what is told counts 7 s later.
 const FIRST_PAUSE: Span = Span::from_millis(100);
@@ -49,7 +51,7 @@
     if stream.write_all(&board::since(state.facade.seen())).is_err() {
         return "not-written";
     }
-    let mut input = Vec::new();
+    let (mut input, mut last_look) = (Vec::new(), false);
     loop {
         loop {
             match board::decode(&input) {
@@ -77,8 +79,17 @@
         input.truncate(had + *got.as_ref().unwrap_or(&0));
         match got {
             Ok(0) => return "board-closed",
+            Ok(_) if last_look => {
+                last_look = false;
+                let _ = stream.set_read_timeout(Some(wait(SILENCE)));
+            }
             Ok(_) => {}
-            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => return "silent",
+            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {
+                if std::mem::replace(&mut last_look, true) {
+                    return "silent";
+                }
+                let _ = stream.set_read_timeout(Some(wait(LAST_LOOK)));
+            }
             Err(_) => return "board-reset",
         }
     }
--- a/front/src/engines/platform.rs
+++ b/front/src/engines/platform.rs
@@ -116,13 +116,14 @@
             Ok(link) => link,
             Err(why) => return self.not_sent(why),
         };
-        let deaf = self.state.heart.deaf_for(self.state.clock.now());
-        if deaf > Span::ZERO {
-            self.state.sleep(deaf);
+        let deaf = self.state.is_deaf();
+        while self.state.is_deaf() && self.state.clock.now() < self.until() {
+            self.state.sleep(PAUSE);
         }
         // Its client left while it waited for this connection, or the list moved its engine: another process may
         // have the address, of another kind, cold, or with nothing to do with the one that was picked.
-        let fresh = self.state.clock.now().since(self.sent) < FRESH;
+        // And whatever was told while this front stood still may be past its grace.
+        let fresh = !deaf && self.state.clock.now().since(self.sent) < FRESH;
         if self.state.facade.left(self.b).is_some()
             || !self.state.facade.is_open(self.to.engine, self.home, fresh)
         {
--- a/front/src/state/heart.rs
+++ b/front/src/state/heart.rs
@@ -18,6 +18,8 @@
 /// within so much.
 const DEAF: Span = Span::from_millis(1000);
 const CATCH_UP: Span = Span::from_millis(60);
+/// Where its connection did not outlast the stall, the board is heard on another one, within so much or it is not there.
+const HEARD_WITHIN: Span = Span::from_millis(1000);
 /// The worker looks for events of sockets only when nothing is ready to run. It has passed that point this lately, or
 /// others are starved by those who always have something to say.
 const EVENTS_WITHIN: Span = Span::from_millis(60);
@@ -33,7 +35,8 @@
     /// When the worker last looked for events.
     looked: At,
     long: bool,
-    deaf_until: At,
+    /// When it last woke from a stall as long as that.
+    woke: At,
     /// The last stall: from, until.
     stall: (At, At),
 }
@@ -45,7 +48,7 @@
                 last: now,
                 looked: now,
                 long: false,
-                deaf_until: now,
+                woke: At::default(),
                 stall: (At::default(), At::default()),
             }),
         }
@@ -68,7 +71,7 @@
             beats.stall = (if goes_on { from } else { beats.last }, now);
         }
         if silence >= DEAF {
-            beats.deaf_until = now + CATCH_UP;
+            beats.woke = now;
         }
         beats.last = now;
         beats.long |= silence > LONG;
@@ -89,10 +92,12 @@
         now.since(lock(&self.beats).looked) > EVENTS_WITHIN
     }
 
-    /// How long nothing may be sent yet: after a long stall the board is to be read first.
-    pub fn deaf_for(&self, now: At) -> Span {
+    /// How long nothing may be sent yet: after a long stall the board, which was `heard` last then, is to be read first.
+    pub fn deaf_for(&self, now: At, heard: At) -> Span {
         self.mark(now);
-        lock(&self.beats).deaf_until.since(now)
+        let woke = lock(&self.beats).woke;
+        let until = if heard > woke { CATCH_UP } else { HEARD_WITHIN };
+        (woke + until).since(now)
     }
 
     /// The earliest time at which a reader that slept since then may have been sent what it reads now.
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -72,6 +72,12 @@
         self.alarms.sleep(span);
     }
 
+    /// Whether this front stood still for long and has not heard since what the board told meanwhile.
+    pub fn is_deaf(&self) -> bool {
+        let heard = At::from_micros(self.board_heard.load(Ordering::Relaxed));
+        self.heart.deaf_for(self.clock.now(), heard) > Span::ZERO
+    }
+
     pub fn is_done(&self) -> bool {
         self.done.load(Ordering::Relaxed)
     }
--- a/front/tests/front/memory.rs
+++ b/front/tests/front/memory.rs
@@ -81,6 +81,26 @@
     assert_eq!(heart.may_be_from(ms(10), ms(2400)), ms(2400), "long after it");
 }
 
+#[test]
+fn after_a_long_stall_the_board_is_heard_first() {
+    // Stood still until, asked at, the board heard last at; how long nothing is sent yet.
+    let cases = [
+        ("none", 130, 140, 0, 0),
+        ("a short one", 900, 910, 0, 0),
+        ("not heard since", 2000, 2010, 100, 990),
+        ("heard in the stall's first moment", 2000, 2010, 2000, 990),
+        ("heard since", 2000, 2010, 2005, 50),
+        ("heard since, and all was read", 2000, 2060, 2005, 0),
+        ("a board that is not there", 2000, 3000, 100, 0),
+    ];
+    for (what, woke, now, heard, expected) in cases {
+        let heart = Heart::start(ms(100));
+        heart.beat(ms(woke));
+        (woke..now).step_by(20).for_each(|n| _ = heart.beat(ms(n)));
+        assert_eq!(heart.deaf_for(ms(now), ms(heard)), Span::from_millis(expected), "{what}");
+    }
+}
+
 #[test]
 fn limits_follow_the_machine_and_leave_descriptors_over() {
     for (memory, sockets) in [(192, 1024), (2048, 4096), (64, 128), (16, 30)] {
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -1,6 +1,7 @@
 //! The program on loopback sockets, between toy engines, a toy board and toy clients.
 
 use crate::common::{Front, config, config_of, nobody, settings, until_seen, wait_for};
+use larchfall_rig::relay::{Relays, Way};
 use larchfall_toy::board::{Board, Listed, frame};
 use larchfall_toy::client::{Answer, Client, request};
 use larchfall_toy::engine::{Act, Engine};
@@ -533,7 +534,7 @@
     let mut client = front.client();
     client.send("look", &fields(ID, "25000"), "").unwrap();
     until_seen(&engine, "the query to start", |s| s.started.len() == 1);
-    front.signal("-STOP");
+    front.stop();
     client.send("once", &fields("aaaaaaaaaaaaaaaa", "25000"), "").unwrap();
     front.signal("-CONT");
     let mut answers: Vec<_> = (0..2).map(|_| client.answer().unwrap()).collect();
@@ -571,7 +572,7 @@
         std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&port).then_some(())
     });
     let stopped = Instant::now();
-    front.signal("-STOP");
+    front.stop();
     front.list(2, &[(1, address, 1)]);
     for _ in 0..filled {
         engine.accept().unwrap();
@@ -586,6 +587,52 @@
     assert_eq!(came, 0, "{}", String::from_utf8_lossy(&bytes[..came]));
 }
 
+/// Guards against a front that wakes, finds that its wait for the board is over (or the board's connection gone), and sends
+/// what came meanwhile before it has heard what else did.
+#[test]
+fn what_comes_while_a_front_stands_still_is_sent_once_it_has_heard_its_board() {
+    // (how long it stands still, whether the way to its board is cut meanwhile)
+    for (still_ms, cut) in [(1_500, false), (3_200, false), (3_200, true), (1_500, true)] {
+        let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
+        let board = Board::start("127.0.0.1:0").unwrap();
+        let way = Relays::start(1, &[board.address]).unwrap();
+        let text = config_of("127.0.0.1:0", way.address(0, 0), &[engine.address], 256, &settings());
+        let front = Front::start_with(board, &text);
+        let mut client = front.client();
+        // Until the front has heard its board once.
+        front.list(2, &[(1, engine.address, 0)]);
+        client.send("look", &fields(ID, "25000"), "").unwrap();
+        assert_eq!(client.answer().unwrap().1, rows("ok\n"));
+        wait_for("the board to be heard", || {
+            let heard = std::fs::read_to_string("/proc/net/tcp").unwrap();
+            heard.contains(&format!(":{:04X} 01 ", way.address(0, 0).port())).then_some(())
+        });
+        front.stop();
+        let stopped = Instant::now();
+        if cut {
+            way.set(|_, _| true, Way::Cut);
+            // What is on its way now still comes in.
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        front.list(3, &[(1, engine.address, 1)]);
+        for n in 0..8 {
+            client.send("look", &fields(&format!("{:016x}", n + 1), "25000"), "").unwrap();
+        }
+        wait_for("it to have stood still so long", || {
+            (stopped.elapsed() > Duration::from_millis(still_ms)).then_some(())
+        });
+        front.signal("-CONT");
+        // It cannot hear at once.
+        std::thread::sleep(Duration::from_millis(200));
+        way.set(|_, _| true, Way::Sound);
+        let refused = Answer::Error("Rejected".into(), Some("500".into()));
+        for _ in 0..8 {
+            assert_eq!(client.answer().unwrap().1, refused, "{still_ms} ms, cut: {cut}");
+        }
+        assert_eq!(engine.seen().started.len(), 1, "{still_ms} ms, cut: {cut}");
+    }
+}
+
 #[test]
 fn told_to_stop_a_front_serves_on_answers_all_and_ends() {
     let slow = Engine::start("127.0.0.1:0", |call| {
@@ -622,7 +669,7 @@
         front.signal("-TERM");
         front.log.wait_for("told to stop");
         let told = Instant::now();
-        front.signal("-STOP");
+        front.stop();
         for (n, client) in clients.iter_mut().enumerate() {
             client.send("look", &fields(&format!("{:016x}", n + 1), "20000"), "").unwrap();
         }
