The rig's fronts listen on ports that the system gives to nobody who asks for any

Cause: a full run of the tests failed in the duties' planned end: 'fronts.address: 127.58.164.3:45109: Address already in use'. The port had been found by a bind and left to the front; a question to a front (larchfall duties and the like) asks for any port on all addresses meanwhile, and may be given that one.

Change: fixed ports from 7001 on the address of loopback that is the net's own; the system gives none below 32,768 by itself.

--- a/rig/src/net.rs
+++ b/rig/src/net.rs
@@ -46,8 +46,11 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// An address of loopback that no other net has, in this process or in another that runs now: a port that is left to
-/// a front is free until the front takes it, or whoever asked the system for any port meanwhile would have it.
+/// The first port of a net's fronts. The system gives none below 32,768 to whoever asks for any, be it on all addresses: one
+/// that is left to a front stays free until the front takes it, and between two processes of it.
+const FIRST_PORT: u16 = 7001;
+
+/// An address of loopback that no other net has, in this process or in another that runs now.
 fn own_host() -> Ipv4Addr {
     static NETS: AtomicU32 = AtomicU32::new(0);
     let [_, _, high, low] = std::process::id().to_be_bytes();
@@ -58,12 +61,10 @@
 impl Net {
     /// Between so many fronts, all links sound.
     pub fn start(fronts: usize, seed: u64) -> io::Result<Net> {
-        let bind = |host| move |_| UdpSocket::bind((host, 0));
         let sockets: Vec<UdpSocket> =
-            (0..fronts).map(bind(Ipv4Addr::LOCALHOST)).collect::<io::Result<_>>()?;
-        // Bound once to find a port that is free, and left to its front.
-        let homes: Vec<UdpSocket> = (0..fronts).map(bind(own_host())).collect::<io::Result<_>>()?;
-        let homes = homes.iter().map(UdpSocket::local_addr).collect::<io::Result<_>>()?;
+            (0..fronts).map(|_| UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))).collect::<io::Result<_>>()?;
+        let host = own_host();
+        let homes = (0..fronts as u16).map(|i| SocketAddr::from((host, FIRST_PORT + i))).collect();
         let net = Arc::new(Shared {
             sockets,
             homes,
