A list of engines that nobody stands by any more opens none: rule 3 under a silent board

What the board has to tell counts as told 7 s later, whether or not it came, and the grace of 2 s runs from then; the front went on by its last list for as long as it liked.

Change: the board's frames, empty ones too, tell the module that the list holds as of when they may have been sent; after 7 s and the settings' drain grace without one no engine is open and batches are pushed back at once (also between picking and sending).

A test with the program whose board stands still, and a table of the decision.

--- a/front/src/board.rs
+++ b/front/src/board.rs
@@ -12,6 +12,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+/// What the board has to tell counts as told so long after, whether or not it came.
+pub const TOLD_WITHIN: Span = Span::from_millis(7000);
 /// An empty frame comes each second: after this much silence nobody is there.
 const SILENCE: Span = Span::from_millis(2500);
 /// One last look once that is over: for a front that stood still it is, and all that was said meanwhile is unread.
@@ -51,13 +53,14 @@
     if stream.write_all(&board::since(state.facade.seen())).is_err() {
         return "not-written";
     }
-    let (mut input, mut last_look) = (Vec::new(), false);
+    let (mut input, mut last_look, mut sent) = (Vec::new(), false, state.clock.now());
     loop {
         loop {
             match board::decode(&input) {
                 Ok(Some((frame, used))) => {
                     *frames += 1;
                     state.board_heard.store(state.clock.now().micros(), Ordering::Relaxed);
+                    state.facade.heard(sent);
                     if let Frame::News(event) = frame {
                         take(state, &event);
                     }
@@ -73,9 +76,11 @@
         if !state.is_board(era) {
             return "replaced";
         }
-        let had = input.len();
+        let (had, slept_since) = (input.len(), state.clock.now());
         input.resize(had + 4096, 0);
         let got = stream.read(&mut input[had..]);
+        // What is read after a stall may be as old as that.
+        sent = state.heart.may_be_from(slept_since, state.clock.now());
         input.truncate(had + *got.as_ref().unwrap_or(&0));
         match got {
             Ok(0) => return "board-closed",
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -91,6 +91,8 @@
     let probing = duties.as_ref().and_then(|site| site.probing);
     let clock = Clock::start((parts.wall)());
     let state = Arc::new(start(config.settings, limits, seed, log, probing, clock));
+    // The configuration's list is as good as the board's, now.
+    state.facade.heard(state.clock.now());
     for event in &known {
         board::take(&state, event);
     }
@@ -200,7 +202,9 @@
     let in_order = s.given.groups.iter().map(|g| g.in_order).collect();
     let referenced = s.given.groups.iter().map(|g| matches!(g.effect, Effect::Referenced { .. })).collect();
     let come_back = s.given.caps.come_back;
-    let caps = Caps { forgets: Some(RUNS_ON), links_kept: Pool::kept(s.idle_close), ..s.given.caps };
+    let list_holds = Some(board::TOLD_WITHIN + s.drain_grace);
+    let links_kept = Pool::kept(s.idle_close);
+    let caps = Caps { forgets: Some(RUNS_ON), links_kept, list_holds, ..s.given.caps };
     let alarms = Arc::new(Alarms::new(clock));
     let policy = Policy::new(seed, Given { caps, ..s.given });
     State {
--- a/front/src/state/facade.rs
+++ b/front/src/state/facade.rs
@@ -355,6 +355,11 @@
         lock(&self.inner).engines.id(e)
     }
 
+    /// The notice board said something, be it that there is nothing new: the list holds as of then.
+    pub fn heard(&self, at: At) {
+        lock(&self.inner).policy.heard(at);
+    }
+
     /// Takes in an event of the notice board; the engines whose connections are of no more use.
     pub fn follow(&self, event: &Event) -> Vec<usize> {
         let mut guard = lock(&self.inner);
@@ -383,7 +388,8 @@
 
     /// Whether what was picked for this process may still be sent there.
     pub fn is_open(&self, e: usize, home: Home, fresh: bool) -> bool {
-        lock(&self.inner).engines.is_open(e, home, fresh)
+        let inner = lock(&self.inner);
+        inner.engines.is_open(e, home, fresh) && inner.policy.is_listed(self.clock.now())
     }
 
     /// None once it is gone and nothing of this front's is out there.
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -633,6 +633,41 @@
     }
 }
 
+/// Guards against a front that goes on for as long as it likes by a list that its board may have taken back: what the board
+/// has to tell counts as told 7 s later, and the grace of 2 s runs from then.
+#[test]
+fn a_front_that_cannot_hear_its_board_sends_nothing_once_its_list_is_too_old() {
+    let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let way = Relays::start(1, &[board.address]).unwrap();
+    let text = config_of("127.0.0.1:0", way.address(0, 0), &[engine.address], 256, &settings());
+    let front = Front::start_with(board, &text);
+    let mut client = front.client();
+    let mut ask = |n: u32| {
+        client.send("look", &fields(&format!("{n:016x}"), "25000"), "").unwrap();
+        client.answer().unwrap().1
+    };
+    way.set(|_, _| true, Way::Stalls);
+    let (told, mut last, mut n) = (Instant::now(), Instant::now(), 0);
+    front.list(2, &[(1, engine.address, 1)]);
+    wait_for("the list to be too old", || {
+        n += 1;
+        let served = ask(n) == rows("ok\n");
+        last = if served { Instant::now() } else { last };
+        (!served).then_some(())
+    });
+    let after = last.duration_since(told);
+    assert!(after > Duration::from_secs(5) && after < Duration::from_secs(9), "served until {after:?} after");
+    front.log.wait_for("list of engines too old");
+    front.list(3, &[(1, engine.address, 0)]);
+    way.set(|_, _| true, Way::Sound);
+    wait_for("it to be heard again", || {
+        n += 1;
+        (ask(n) == rows("ok\n")).then_some(())
+    });
+    front.log.wait_for("list of engines holds again");
+}
+
 #[test]
 fn told_to_stop_a_front_serves_on_answers_all_and_ends() {
     let slow = Engine::start("127.0.0.1:0", |call| {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -76,6 +76,7 @@
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct RawSafety {
+    drain_grace: u64,
     budget_free: Option<f64>,
     cold_from: f64,
     extra_per_request: Option<f64>,
@@ -113,6 +114,8 @@
     pub connect_within: Span,
     /// Engines close connections that were idle this long.
     pub idle_close: Span,
+    /// An engine that drains is sent nothing new so long after that was told.
+    pub drain_grace: Span,
 }
 
 /// What the settings call things; the place in each list is the index that decisions use.
@@ -186,6 +189,7 @@
             memory_pages: raw.domain.out_of_memory == "swap",
             notes_every: some(raw.domain.note_period),
             forgets: None,
+            list_holds: None,
             clock_step: us(raw.period),
         },
         cold: ColdRule {
@@ -209,6 +213,7 @@
         limits: raw.classes.iter().map(|g| us(g.hard_limit)).collect(),
         connect_within: us(raw.caps.connect_timeout),
         idle_close: us(raw.caps.idle_close),
+        drain_grace: us(s.drain_grace),
         names: Names {
             groups: raw.classes.into_iter().map(|g| g.name).collect(),
             customers: raw.parties.into_iter().map(|p| p.name).collect(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -126,6 +126,8 @@
     pub notes_every: Option<Span>,
     /// Nothing runs on for longer at an engine, in reach or about to go; `None` where outcomes leave nothing running.
     pub forgets: Option<Span>,
+    /// A list of engines that was last known to hold so long ago may name ones past their grace; `None` where it always holds.
+    pub list_holds: Option<Span>,
     /// Smallest time between two readings of the clock.
     pub clock_step: Span,
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -463,6 +463,8 @@
     /// Bad outcomes and all at engines not left out, fading.
     bad: (f64, f64),
     overloaded: bool,
+    /// When the list of engines was last known to hold, and whether that is too long ago.
+    listed: (At, bool),
     log: Vec<String>,
     chance: WyRand,
 }
@@ -513,11 +515,22 @@
             taken: 0.0,
             bad: (0.0, 0.0),
             overloaded: false,
+            listed: (At::default(), false),
             log: Vec::new(),
             chance: WyRand::new_seed(seed),
         }
     }
 
+    /// Whoever tells of engines was heard, with nothing new or all of it: the list holds as of then.
+    pub fn heard(&mut self, at: At) {
+        self.listed.0 = self.listed.0.max(at);
+    }
+
+    /// Rule 3 counts what was told whether or not it came: a list that nobody stands by any more opens no engine.
+    pub fn is_listed(&self, now: At) -> bool {
+        self.caps.list_holds.is_none_or(|holds| now.since(self.listed.0) < holds)
+    }
+
     pub fn engine(&mut self, now: At, e: usize, told: Engine) {
         if let Some(engine) = self.engines.get_mut(&e) {
             if engine.told.started != told.started {
@@ -784,6 +797,13 @@
             ready += f64::from(engine.is_used());
             congested += f64::from(engine.is_used() && engine.budgets.congested);
         }
+        let old = !self.is_listed(now);
+        if old != std::mem::replace(&mut self.listed.1, old) {
+            self.log.push(format!(
+                "list of engines {}",
+                ["holds again", "too old: nothing is sent"][usize::from(old)]
+            ));
+        }
         let overloaded = ready > 0.0 && congested >= ready * OVERLOAD_SHARE;
         if overloaded != self.overloaded {
             self.overloaded = overloaded;
@@ -832,7 +852,7 @@
 
     /// The ready engine with most free budget of the batch's group, of those that the rules leave open.
     fn choose(&mut self, now: At, b: usize) -> Option<usize> {
-        let held = self.batches.get(&b)?;
+        let held = self.batches.get(&b).filter(|_| self.is_listed(now))?;
         let g = held.batch.group;
         let group = &self.groups[g];
         let mean = self.usual[g].mean();
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -99,6 +99,35 @@
     }
 }
 
+#[test]
+fn rule_3_a_list_that_nobody_stands_by_any_more_opens_no_engine() {
+    let nine = Some(Span::from_millis(9_000));
+    // (how long a list holds, when it was heard of, taken at, whether it goes out, what the tick says)
+    let cases = [
+        (None, &[][..], 60_000, true, ""),
+        (nine, &[0][..], 8_999, true, ""),
+        (nine, &[0][..], 9_000, false, "too old"),
+        (nine, &[0, 5_000][..], 13_999, true, ""),
+        (nine, &[5_000, 0][..], 13_999, true, ""),
+        (nine, &[0, 10_000][..], 10_001, true, ""),
+    ];
+    for (holds, heard, at, sends, says) in cases {
+        let mut rig = usual();
+        rig.caps.list_holds = holds;
+        let mut front = rig.start(2);
+        heard.iter().for_each(|at| front.policy.heard(ms(*at)));
+        let one = Batch { time_limit: ms(90_000), ..batch(LOOK_UP) };
+        let (_, place) = front.take(at, one.clone());
+        assert_eq!(sent_to(place).is_some(), sends, "{holds:?} {heard:?} {at}: {place:?}");
+        assert!(sends || matches!(place, Place::PushBack(Some(_))), "{place:?}");
+        front.policy.tick(ms(at));
+        let lines = front.policy.log_lines().concat();
+        assert!(lines.contains(says) && lines.is_empty() == says.is_empty(), "{lines}");
+        front.policy.heard(ms(at));
+        assert!(sent_to(front.take(at, one).1).is_some(), "heard again");
+    }
+}
+
 #[test]
 fn rule_4_a_cold_engine_gets_no_more_than_an_even_share() {
     // (fronts, age of the engine in ms, work a batch in ms, most and least sent at once)
