The storm names who tries to act under an older token, and two by turns under one

Need: its audit of tokens could only fail if the fence of what is acted on did, and two processes that act by turns under one token were not named.

A table of five cases.

--- a/rig/src/storm/play.rs
+++ b/rig/src/storm/play.rs
@@ -293,17 +293,29 @@
     }
 }
 
-/// Of each duty: what was taken is never older than what was taken before. It holds what is acted on to its fence, which refuses
-/// older ones; the summary counts those.
+/// Of each duty: nothing is taken under a token older than one that was taken, and nobody tries: the fence is there for what
+/// stood still outside of every front's reach, and here each program has a process beside it that ends it in time. And no
+/// two processes act by turns under one token.
 pub fn out_of_order(actions: &[Action]) -> Vec<String> {
     let mut newest: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut acted: BTreeMap<(&str, u64), Vec<u32>> = BTreeMap::new();
     let mut faults = Vec::new();
-    for action in actions.iter().filter(|action| action.taken) {
+    for action in actions {
         let token = newest.entry(&action.duty).or_default();
         if action.token < *token {
-            faults.push(format!("{} acted on under {}, after {token}", action.duty, action.token));
+            let how = if action.taken { "acted" } else { "tried to act" };
+            faults.push(format!("{} {how} under {}, after {token}", action.duty, action.token));
+        }
+        if action.taken {
+            *token = action.token.max(*token);
+        }
+        let processes = acted.entry((&action.duty, action.token)).or_default();
+        if processes.last() != Some(&action.process) {
+            if processes.contains(&action.process) {
+                faults.push(format!("{}: {processes:?} act by turns under {}", action.duty, action.token));
+            }
+            processes.push(action.process);
         }
-        *token = action.token.max(*token);
     }
     faults
 }
--- a/rig/tests/storm.rs
+++ b/rig/tests/storm.rs
@@ -184,17 +184,26 @@
 }
 
 #[test]
-fn actions_that_were_taken_under_an_older_token_are_named() {
-    let action = |token, taken| Action { at: Instant::now(), duty: "d".into(), token, process: 1, taken };
+fn actions_under_an_older_token_or_by_turns_under_one_are_named() {
+    // (token, process, whether it was taken) in order, and what is said of it
     let cases = [
-        (vec![(1, true), (1, true), (3, true)], 0),
-        // Refused is what is to become of it.
-        (vec![(1, true), (3, true), (1, false)], 0),
-        (vec![(1, true), (3, true), (1, true)], 1),
+        (vec![(1, 7, true), (1, 7, true), (3, 8, true)], ""),
+        // Ended and begun again by its holder.
+        (vec![(1, 7, true), (1, 8, true), (1, 8, true)], ""),
+        (vec![(1, 7, true), (3, 8, true), (1, 7, false)], "d tried to act under 1, after 3"),
+        (vec![(1, 7, true), (3, 8, true), (1, 7, true)], "d acted under 1, after 3"),
+        (vec![(1, 7, true), (1, 8, true), (1, 7, true)], "d: [7, 8] act by turns under 1"),
     ];
     for (actions, wrong) in cases {
-        let actions: Vec<Action> = actions.iter().map(|(token, taken)| action(*token, *taken)).collect();
-        assert_eq!(out_of_order(&actions).len(), wrong, "{actions:?}");
+        let action = |(token, process, taken): (u64, u32, bool)| Action {
+            at: Instant::now(),
+            duty: "d".into(),
+            token,
+            process,
+            taken,
+        };
+        let actions: Vec<Action> = actions.into_iter().map(action).collect();
+        assert_eq!(out_of_order(&actions).concat(), wrong, "{actions:?}");
     }
 }
 
