One dispatch at a time where no second copy is allowed; a key rests after a give-up

The front never read caps.second_copies: after a zone was cut off, what was called off, cut or refused got its outcome without a seen end, and was sent again beside it. Behind that a second break: order, 'sent 152 ms after an attempt of the same key had ended with no proof that it runs no more; the key had to rest 300 ms': a dispatch whose page was lost is given up, and has the outcome errored, for which the account asked for no rest.

Change: where no second copies are allowed a batch whose dispatch is not seen to be over (the account's table) gets no further one, and is answered at once; a dispatch whose page is lost is then given up and waited for. The account rests a key after all that was given up or is unknown. Deployments that allow copies, or with no rest, decide as before.

--- a/front/src/engines/platform.rs
+++ b/front/src/engines/platform.rs
@@ -328,7 +328,7 @@
     /// handed on already ends the batch.
     fn lose(&self, link: Option<Link>, outcome: Outcome, report: Report) -> Ended {
         let torn = !self.task.reader.begin_anew();
-        if self.task.in_order {
+        if self.task.in_order || self.state.one_at_a_time {
             return Ended { report, torn, ..self.give_up(link, GIVE_UP_WITHIN, outcome) };
         }
         self.give_up_beside(link);
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -204,7 +204,8 @@
     let come_back = s.given.caps.come_back;
     let list_holds = Some(board::TOLD_WITHIN + s.drain_grace);
     let links_kept = Pool::kept(s.idle_close);
-    let caps = Caps { forgets: Some(RUNS_ON), links_kept, list_holds, ..s.given.caps };
+    let (forgets, one_at_a_time) = (Some(RUNS_ON), s.one_at_a_time);
+    let caps = Caps { forgets, links_kept, list_holds, one_at_a_time, ..s.given.caps };
     let alarms = Arc::new(Alarms::new(clock));
     let policy = Policy::new(seed, Given { caps, ..s.given });
     State {
@@ -213,6 +214,7 @@
         names: s.names,
         group_limits: s.limits,
         in_order,
+        one_at_a_time,
         referenced,
         come_back,
         connect_within: s.connect_within,
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -36,6 +36,8 @@
     pub group_limits: Vec<Span>,
     /// Service groups whose batches of one key go one after the other.
     pub in_order: Vec<bool>,
+    /// No batch may have two dispatches out.
+    pub one_at_a_time: bool,
     /// Service groups whose batches carry a mark by which a repeat is known.
     pub referenced: Vec<bool>,
     /// When to come back, for what the front itself pushes back.
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -32,6 +32,7 @@
     idle_close: u64,
     probes: bool,
     max_attempts: usize,
+    second_copies: Option<bool>,
     max_retry_after: u64,
     retry_after: bool,
 }
@@ -116,6 +117,8 @@
     pub idle_close: Span,
     /// An engine that drains is sent nothing new so long after that was told.
     pub drain_grace: Span,
+    /// No batch may have two dispatches out.
+    pub one_at_a_time: bool,
 }
 
 /// What the settings call things; the place in each list is the index that decisions use.
@@ -184,6 +187,7 @@
             link_price: raw.prices.handshake,
             links_kept: Span::ZERO,
             most_dispatches: raw.caps.max_attempts,
+            one_at_a_time: false,
             come_back: if raw.caps.retry_after { some(raw.caps.max_retry_after) } else { None },
             sets_memory: raw.domain.grants,
             memory_pages: raw.domain.out_of_memory == "swap",
@@ -214,6 +218,7 @@
         connect_within: us(raw.caps.connect_timeout),
         idle_close: us(raw.caps.idle_close),
         drain_grace: us(s.drain_grace),
+        one_at_a_time: raw.caps.second_copies == Some(false),
         names: Names {
             groups: raw.classes.into_iter().map(|g| g.name).collect(),
             customers: raw.parties.into_iter().map(|p| p.name).collect(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -117,6 +117,8 @@
     pub link_price: f64,
     pub links_kept: Span,
     pub most_dispatches: usize,
+    /// Nothing of a batch may run beside a further dispatch of it, and an outcome alone does not say that it ended.
+    pub one_at_a_time: bool,
     /// The longest time to come back that clients heed, where they are told one at all.
     pub come_back: Option<Span>,
     pub sets_memory: bool,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -52,8 +52,7 @@
 const MOST_FAILING: f64 = 0.5;
 const TRIAL_FIRST: Span = Span::from_millis(1000);
 const TRIAL_MOST: Span = Span::from_millis(8000);
-// Threads of free budget that a second is worth by which a trial is overdue: others that stay freer, warm or
-// close at hand must not keep a sound engine left out for as long as traffic is thin.
+// Threads of free budget for each second that a trial is overdue: thin traffic must not leave it out.
 const TRIAL_DRAWS: f64 = 1.0;
 // An engine that comes back sooner is the same one: what a cold one was sent still counts.
 const GONE_FOR: Span = Span::from_millis(10_000);
@@ -71,7 +70,7 @@
 const ZONE_WORTH: f64 = 1.0;
 // And a connection at hand, where a new one costs a whole batch.
 const LINK_WORTH: f64 = 10.0;
-// Probes a batch taken, where own counts show next to nothing, and the part of a batch's utility that they may
+// Probes a batch taken, where own counts show next to nothing, and the part of a batch's utility they may
 // cost; how long a load told counts, less as it ages.
 const PROBES: f64 = 0.5;
 const PROBES_COST: f64 = 0.0055;
@@ -437,6 +436,8 @@
     went_astray: bool,
     /// The first dispatch that may have run: engine and time sent.
     may_have_run: Option<(Engine, At)>,
+    /// A dispatch had its outcome and may run all the same, and none may be out beside it.
+    may_run: bool,
     over: bool,
 }
 
@@ -526,7 +527,7 @@
         self.listed.0 = self.listed.0.max(at);
     }
 
-    /// Rule 3 counts what was told whether or not it came: a list that nobody stands by any more opens no engine.
+    /// Rule 3 counts what was told whether or not it came: a list nobody stands by any more opens no engine.
     pub fn is_listed(&self, now: At) -> bool {
         self.caps.list_holds.is_none_or(|holds| now.since(self.listed.0) < holds)
     }
@@ -581,7 +582,7 @@
         if held.batch.key.is_some_and(|key| !self.keys.has_turn(key, b, now)) {
             return Place::NotYet;
         }
-        let spent = held.dispatches >= self.caps.most_dispatches.min(1 + MOST_FURTHER);
+        let spent = held.may_run || held.dispatches >= self.caps.most_dispatches.min(1 + MOST_FURTHER);
         let may = held.dispatches == 0 || !self.overloaded && !spent && self.ration.allows(now);
         match may.then(|| self.choose(now, b)).flatten() {
             Some(e) => self.send(now, b, e),
@@ -600,11 +601,12 @@
             self.ration.returned(held.taken, now);
         }
         held.over |= answer.over;
+        held.may_run |= self.caps.one_at_a_time && !account::proves_over(answer.seen);
         let unsure = matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff);
         let key = held.batch.key.into_iter();
         key.for_each(|key| self.keys.ended(key, b, number, answer.seen, unsure, now));
         let Some(engine) = self.engines.get_mut(&out.engine) else { return Next::Over };
-        // Rule 2's first question. What was cut off and then turned away on another connection may still come in.
+        // Rule 2's first question. What was cut off, then turned away on another connection may still come.
         let never_ran = matches!(answer.outcome, Outcome::ConnectFailed | Outcome::Moot)
             || answer.outcome == Outcome::Full && answer.seen.same;
         if !never_ran && held.may_have_run.is_none_or(|(_, at)| out.sent < at) {
@@ -657,7 +659,7 @@
         if over { Next::Over } else { Next::Ask }
     }
 
-    /// An outcome at an engine, of this front's own or one that others saw and whose weight the caller worked out.
+    /// An outcome at an engine, of this front's own or one that others saw and the caller weighed.
     pub fn outcome(&mut self, now: At, e: usize, bad: bool, how: &str) {
         let Some(engine) = self.engines.get_mut(&e) else { return };
         if engine.health.see(bad, &mut self.bad, now) {
@@ -703,7 +705,7 @@
         }
     }
 
-    /// So many fronts count from now on, where somebody knows: by them the even shares of engines are divided.
+    /// So many fronts count from now on, where somebody knows: by them engines are divided evenly.
     pub fn count(&mut self, fronts: usize) {
         self.fleet.fronts = fronts.max(1);
         let share = 1.0 / self.fleet.fronts as f64;
@@ -799,10 +801,7 @@
         }
         let old = !self.is_listed(now);
         if old != std::mem::replace(&mut self.listed.1, old) {
-            self.log.push(format!(
-                "list of engines {}",
-                ["holds again", "too old: nothing is sent"][usize::from(old)]
-            ));
+            self.log.push(format!("list of engines {}", ["holds again", "too old"][usize::from(old)]));
         }
         let overloaded = ready > 0.0 && congested >= ready * OVERLOAD_SHARE;
         if overloaded != self.overloaded {
--- a/src/policy/account.rs
+++ b/src/policy/account.rs
@@ -62,11 +62,12 @@
         self.lines.entry(key).or_default().may_run.push(Entry { batch: Some(b), number, until: None });
     }
 
-    /// The dispatch has its outcome. `unsure` where the rule itself asks for a rest after such an outcome.
+    /// The dispatch has its outcome; `unsure` where the rule asks for a rest, as after all that was given up.
     pub fn ended(&mut self, key: u64, b: usize, number: u8, seen: Seen, unsure: bool, now: At) {
         let Some(line) = self.lines.get_mut(&key) else { return };
         let over = if proves_over(seen) { now } else { now + self.forgets };
-        let until = over + if unsure || over > now { self.quiet } else { Span::ZERO };
+        let rests = unsure || over > now || matches!(seen.last, Last::Stopped | Last::Unknown);
+        let until = over + if rests { self.quiet } else { Span::ZERO };
         let this = |e: &&mut Entry| e.batch == Some(b) && e.number == number;
         line.may_run.iter_mut().filter(this).for_each(|e| e.until = Some(until));
         line.may_run.retain(|e| e.until.is_none_or(|until| until > now));
--- a/tests/account.rs
+++ b/tests/account.rs
@@ -332,6 +332,31 @@
     assert_eq!(account, Account::new(Span::ZERO, LETS_GO), "nothing is left of the key");
 }
 
+#[test]
+fn a_key_rests_after_all_that_was_not_the_engines_own_end() {
+    use Last::*;
+    const QUIET: u64 = 300_000;
+    // (what was seen, whether the outcome itself asks for a rest, whether the key rests)
+    let cases = [
+        (Ended, false, false),
+        (Declined, false, false),
+        (NotSent, false, false),
+        (Stopped, false, true),
+        (Unknown, false, true),
+        (Ended, true, true),
+    ];
+    for (last, unsure, rests) in cases {
+        let mut account = Account::new(Span::from_micros(QUIET), LETS_GO);
+        account.take(KEY, 0);
+        account.sent(KEY, 0, 0);
+        account.ended(KEY, 0, 0, Seen { last, same: true }, unsure, at(0));
+        account.leave(KEY, 0);
+        account.take(KEY, 1);
+        assert_eq!(account.has_turn(KEY, 1, at(QUIET - 1)), !rests, "{last:?} {unsure}");
+        assert!(account.has_turn(KEY, 1, at(QUIET)), "{last:?} {unsure}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -73,6 +73,34 @@
     }
 }
 
+/// Guards against a second copy where none is allowed: an outcome on the front's side is no end at the engine.
+#[test]
+fn rule_2_nothing_goes_out_beside_what_may_run_where_one_at_a_time_may() {
+    let seen = |last, same| Seen { last, same };
+    let cases = [
+        // (one at a time, what was seen of the first, sent again)
+        (false, seen(Last::Silent, true), true),
+        (true, seen(Last::Silent, true), false),
+        (true, seen(Last::Refused, true), false),
+        (true, seen(Last::Stopped, false), false),
+        (true, seen(Last::Stopped, true), true),
+        (true, seen(Last::Ended, true), true),
+        (true, seen(Last::NotSent, false), true),
+    ];
+    for (one_at_a_time, seen, again) in cases {
+        let mut rig = usual();
+        rig.caps.one_at_a_time = one_at_a_time;
+        let mut front = rig.start(3);
+        let (b, place) = front.take(0, batch(LOOK_UP));
+        assert!(sent_to(place).is_some());
+        let answer = Answer { over: false, ..Answer::bare(Outcome::CalledOff, seen) };
+        assert_eq!(front.policy.after(ms(100), b, 0, &answer), Next::Ask);
+        let place = front.policy.place(ms(100), b);
+        assert_eq!(sent_to(place).is_some(), again, "{one_at_a_time} {seen:?}: {place:?}");
+        assert!(again || matches!(place, Place::PushBack(_)), "{place:?}");
+    }
+}
+
 #[test]
 fn rules_3_and_6_only_ready_engines_in_place_get_anything() {
     let gone = Engine { state: EngineState::Gone, ..engine() };
