The test of a list too old waits until the way to the board surely stands still

Cause: in a clean clone the drain passed through the relay in the moment before it stood still, so the front heard it (served until 1 ms after). What is on its way then still comes in; 200 ms later nothing does.

--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -648,6 +648,8 @@
         client.answer().unwrap().1
     };
     way.set(|_, _| true, Way::Stalls);
+    // What is on its way now still comes in.
+    std::thread::sleep(Duration::from_millis(200));
     let (told, mut last, mut n) = (Instant::now(), Instant::now(), 0);
     front.list(2, &[(1, engine.address, 1)]);
     wait_for("the list to be too old", || {
