--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -587,17 +587,22 @@
     assert_eq!(came, 0, "{}", String::from_utf8_lossy(&bytes[..came]));
 }
 
+/// A front with one engine, and the way to its notice board.
+fn with_a_way_to_its_board() -> (Front, Engine, Relays) {
+    let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let way = Relays::start(1, &[board.address]).unwrap();
+    let text = config_of("127.0.0.1:0", way.address(0, 0), &[engine.address], 256, &settings());
+    (Front::start_with(board, &text), engine, way)
+}
+
 /// Guards against a front that wakes, finds that its wait for the board is over (or the board's connection gone), and sends
 /// what came meanwhile before it has heard what else did.
 #[test]
 fn what_comes_while_a_front_stands_still_is_sent_once_it_has_heard_its_board() {
     // (how long it stands still, whether the way to its board is cut meanwhile)
     for (still_ms, cut) in [(1_500, false), (3_200, false), (3_200, true), (1_500, true)] {
-        let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
-        let board = Board::start("127.0.0.1:0").unwrap();
-        let way = Relays::start(1, &[board.address]).unwrap();
-        let text = config_of("127.0.0.1:0", way.address(0, 0), &[engine.address], 256, &settings());
-        let front = Front::start_with(board, &text);
+        let (front, engine, way) = with_a_way_to_its_board();
         let mut client = front.client();
         // Until the front has heard its board once.
         front.list(2, &[(1, engine.address, 0)]);
@@ -637,11 +642,7 @@
 /// has to tell counts as told 7 s later, and the grace of 2 s runs from then.
 #[test]
 fn a_front_that_cannot_hear_its_board_sends_nothing_once_its_list_is_too_old() {
-    let engine = engine(Act::Serve(NOW, pages(&["ok\n"])));
-    let board = Board::start("127.0.0.1:0").unwrap();
-    let way = Relays::start(1, &[board.address]).unwrap();
-    let text = config_of("127.0.0.1:0", way.address(0, 0), &[engine.address], 256, &settings());
-    let front = Front::start_with(board, &text);
+    let (front, engine, way) = with_a_way_to_its_board();
     let mut client = front.client();
     let mut ask = |n: u32| {
         client.send("look", &fields(&format!("{n:016x}"), "25000"), "").unwrap();
