Signals are caught from the first moment: one before a front is ready waits

Cause: handlers came last in the start (run/serve.rs, after listening), so SIGHUP or SIGTERM before that ended the process by the system's default, with connections that the machine had accepted.

Change: stop::Caught is registered before the configuration is read; what came meanwhile waits as bytes and is done once the front is ready.

Test: a front held at its configuration (a named pipe) has handlers for both, and does what it was told when ready; on the text before it has none.

--- a/front/src/run/command.rs
+++ b/front/src/run/command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use super::parts::Parts;
-use super::{config as files, serve, survey};
+use super::{config as files, serve, stop, survey};
 use crate::fronts::{ask, mind};
 use larchfall::time::Span;
 use lexopt::prelude::*;
@@ -151,6 +151,14 @@
         Task::Version => println!("larchfall {}", env!("CARGO_PKG_VERSION")),
         Task::Mind => return mind::run(end, &command),
         Task::Serve | Task::Check | Task::Ask(_) | Task::Subsets => {
+            let caught = (task == Task::Serve).then(stop::Caught::register).transpose();
+            let caught = match caught {
+                Ok(caught) => caught,
+                Err(e) => {
+                    eprintln!("larchfall: signals: {e}");
+                    return ExitCode::from(1);
+                }
+            };
             let read = config
                 .or_else(|| std::env::var("NODE_CONFIG").ok())
                 .ok_or("no configuration: give --config FILE or set NODE_CONFIG".to_owned())
@@ -175,12 +183,14 @@
             if task == Task::Subsets {
                 return surveyed(&config, site.and_then(|(_, site)| site.subsets), fronts, chart);
             }
-            if task == Task::Check {
+            let Some(caught) = caught else {
                 println!("{file}: sound");
                 if let Some((file, _)) = site {
                     println!("{file}: sound");
                 }
-            } else if let Err((code, why)) = serve::run(file, config, site, parts) {
+                return ExitCode::SUCCESS;
+            };
+            if let Err((code, why)) = serve::run(file, config, site, parts, caught) {
                 eprintln!("larchfall: {why}");
                 return ExitCode::from(code);
             }
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -65,6 +65,7 @@
             let door = Door::new(site.clone(), config.seed)
                 .map_err(|e| (1, format!("no chance to be had for addresses: {e}")))?;
             Some((Arc::new(door), listen(site.listen)?, site))
+    caught: stop::Caught,
         }
         None => None,
     };
@@ -97,7 +98,7 @@
         board::take(&state, event);
     }
     let looks = timer::Looks::open().map_err(|e| (1, format!("a pair of sockets: {e}")))?;
-    let mut signals = stop::Signals::listen().map_err(|e| (1, format!("signals: {e}")))?;
+    let mut signals = stop::Signals::listen(caught).map_err(|e| (1, format!("signals: {e}")))?;
     info!(state.log, "listening"; "clients" => state.limits.clients, "engine_links" => state.limits.engine_links,
         "batches" => state.limits.batches, "address" => listener.local_addr().unwrap_or(address.into()).to_string());
     if let Some((_, listener, site)) = &rest {
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -24,7 +24,21 @@
 const LAST_LINES: Span = Span::from_millis(200);
 const LOOK: Span = Span::from_millis(20);
 
-/// Signals as bytes on a stream, so that a coroutine can wait for them.
+/// Signals that are caught from the program's first moment on, as bytes that wait to be read: one that comes before this
+/// front is ready must not end it by the system's default.
+pub struct Caught {
+    term: UnixStream,
+    ask: UnixStream,
+    reload: UnixStream,
+}
+
+impl Caught {
+    pub fn register() -> io::Result<Caught> {
+        Ok(Caught { term: stream(SIGTERM)?, ask: stream(SIGUSR1)?, reload: stream(SIGHUP)? })
+    }
+}
+
+/// The same as streams on which a coroutine can wait.
 pub struct Signals {
     term: CoIo<UnixStream>,
     ask: CoIo<UnixStream>,
@@ -32,17 +46,18 @@
 }
 
 impl Signals {
-    pub fn listen() -> io::Result<Signals> {
-        Ok(Signals { term: stream(SIGTERM)?, ask: stream(SIGUSR1)?, reload: Some(stream(SIGHUP)?) })
+    pub fn listen(caught: Caught) -> io::Result<Signals> {
+        let Caught { term, ask, reload } = caught;
+        Ok(Signals { term: CoIo::new(term)?, ask: CoIo::new(ask)?, reload: Some(CoIo::new(reload)?) })
     }
 }
 
-/// Only the reading end is known to the coroutine crate, and no descriptor of it is ever doubled: a double
+/// Only the reading end will be known to the coroutine crate, and no descriptor of it is ever doubled: a double
 /// keeps what was closed registered for events, which then reach memory that is free already.
-fn stream(signal: i32) -> io::Result<CoIo<UnixStream>> {
+fn stream(signal: i32) -> io::Result<UnixStream> {
     let (write, read) = UnixStream::pair()?;
     pipe::register(signal, write)?;
-    Ok(CoIo::new(read)?)
+    Ok(read)
 }
 
 /// Blocks until this front has ended.
--- a/front/tests/front/main.rs
+++ b/front/tests/front/main.rs
@@ -3,6 +3,7 @@
 mod codecs;
 mod common;
 mod cost;
+mod crossings;
 mod fronts;
 mod memory;
 mod rest;
