A follower of discovery that has been replaced takes nothing more in

Cause: a follower looked whether another had its place only after it had taken in what it read. The board before may still tell numbers that the new one has yet to tell; the new ones would then be passed over as seen.

Change: the look comes before the frames are taken in. No test of its own: the one that moves the board passes as before.

--- a/front/src/board.rs
+++ b/front/src/board.rs
@@ -55,6 +55,10 @@
     }
     let (mut input, mut last_look, mut sent) = (Vec::new(), false, state.clock.now());
     loop {
+        // What the one before still says once another has its place may bear numbers that this one has yet to tell.
+        if !state.is_board(era) {
+            return "replaced";
+        }
         loop {
             match board::decode(&input) {
                 Ok(Some((frame, used))) => {
@@ -73,9 +77,6 @@
                 }
             }
         }
-        if !state.is_board(era) {
-            return "replaced";
-        }
         let (had, slept_since) = (input.len(), state.clock.now());
         input.resize(had + 4096, 0);
         let got = stream.read(&mut input[had..]);
