Clients: no connection ends while it owes answers; an end behind requests takes them back

Causes, by reading of doors/rpc.rs, each seen on sockets: - converse() returned at once for what is malformed, an id used twice, half a message for 2 s or answers unread for 10 s, with requests open: read, then closed unanswered.

Change: a client that breaks the protocol is heard no more and has the answers to what it asked before; a connection ends only when nothing is owed on it, writing first, what crosses in 50 ms passed over. Up to 16 KiB are read ahead, taken in 4 KiB at a time. Time runs from the first byte, and from when places were taken for those who waited for one. Answers are kept unread for as long as any is owed.

Changed: sockets::what_is_no_message_... read that a connection with one id twice ends with no answer at all; the first request's answer is asked for now.

--- a/front/src/doors/mod.rs
+++ b/front/src/doors/mod.rs
@@ -20,6 +20,11 @@
 }
 
 impl Reason {
+    /// Whether the client ended it.
+    fn is_by_client(self) -> bool {
+        matches!(self, Reason::ClientClosed | Reason::ClientReset)
+    }
+
     fn code(self) -> &'static str {
         match self {
             Reason::ClientClosed => "client-closed",
--- a/front/src/doors/rpc.rs
+++ b/front/src/doors/rpc.rs
@@ -12,13 +12,11 @@
 use may::net::TcpStream;
 use slog::info;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::{Arc, Mutex};
 
 /// Clients close what is idle after 4 s; what some keep beyond that for good costs others their place.
 pub const QUIET: Span = Span::from_millis(5_000);
-/// Answers that wait unread for so long have no reader; who only stands still for a while is owed them.
-const NOT_READ: Span = Span::from_millis(10_000);
 /// A message that has begun, or the first one of a connection, is whole by then: against those that connect and
 /// say nothing, or stop half way, and hold a descriptor.
 pub const WHOLE_WITHIN: Span = Span::from_millis(2_000);
@@ -27,6 +25,11 @@
 const PAUSE: Span = Span::from_millis(5);
 /// On the stack, so that an idle connection keeps no buffer.
 const CHUNK: usize = 4 * 1024;
+/// Read before it is taken in, a chunk at a time: whoever sent much and left is seen to have left first.
+const READ_AHEAD: usize = 16 * 1024;
+/// What still comes in this long on a connection that this front ends is passed over. With bytes unread its end would
+/// be a reset, which takes answers along that are still on their way.
+const LINGER: Span = Span::from_millis(50);
 
 /// A connection that counts among those of this front.
 pub struct Joined {
@@ -34,27 +37,33 @@
     from: SocketAddr,
     place: usize,
     peer: Arc<Peer>,
+    /// Where it may have waited in the listener's queue, since when.
+    queued_since: Option<At>,
 }
 
 /// Counts a connection as soon as it is accepted: its coroutine may run much later, and meanwhile others would
 /// take descriptors that are not there.
-pub fn join(state: &State, stream: TcpStream, from: SocketAddr) -> Joined {
+pub fn join(state: &State, stream: TcpStream, from: SocketAddr, queued_since: Option<At>) -> Joined {
     let _ = stream.set_nodelay(true);
     let (place, peer) = state.peers.join(stream.waker(), state.clock.now());
-    Joined { stream, from, place, peer }
+    Joined { stream, from, place, peer, queued_since }
 }
 
 /// Serves one connection to its end.
 pub fn serve(state: &Arc<State>, joined: Joined) {
-    let Joined { stream, from, place, peer } = joined;
+    let Joined { stream, from, place, peer, queued_since } = joined;
     state.counters.rest(|c| {
         c.connections += 1;
         c.most_clients = c.most_clients.max(state.peers.len());
     });
-    let reason = converse(state, &stream, &peer);
+    let reason = converse(state, &stream, &peer, queued_since);
     for b in peer.abort_all() {
         state.facade.leave(b);
     }
+    // Who never said anything whole has no answer on its way.
+    if !reason.is_by_client() && peer.has_spoken() {
+        linger(state, &stream);
+    }
     // Its descriptor is free before its place is.
     drop(stream);
     state.peers.part(place);
@@ -62,8 +71,89 @@
         "from" => from.to_string(), "reason" => reason.code(), "detail" => reason.detail());
 }
 
-fn converse(state: &Arc<State>, stream: &TcpStream, peer: &Arc<Peer>) -> Reason {
-    let (mut input, mut scan, mut rounds) = (Vec::new(), Scan::default(), 0);
+/// Tells the client that nothing more comes, and passes over what crosses that until it has ended the connection too.
+fn linger(state: &State, stream: &TcpStream) {
+    let until = state.clock.now() + LINGER;
+    let mut rest = Inbox::default();
+    if stream.shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    while rest.read(stream).is_ok() && state.clock.now() < until {
+        rest = Inbox::default();
+        state.sleep(PAUSE);
+    }
+}
+
+/// What came on a connection and is not yet taken in.
+#[derive(Default)]
+struct Inbox {
+    bytes: Vec<u8>,
+    scan: Scan,
+    /// When the first byte of the next message may have been sent.
+    began: At,
+    /// The same of what was read last.
+    read: At,
+    /// Whether more messages may be whole: so many bytes at a time are taken in, and then others have their turn.
+    more: bool,
+}
+
+impl Inbox {
+    /// All that came, up to a bound; whoever ended the connection behind it waits for no answer to any of it.
+    fn read(&mut self, stream: &TcpStream) -> Result<usize, Reason> {
+        let mut all = 0;
+        // A message that is not whole may be longer than the bound.
+        while all < READ_AHEAD && (self.bytes.len() < READ_AHEAD || !self.more) {
+            let mut chunk = [0; CHUNK];
+            let got = stream.inner().read(&mut chunk);
+            if matches!(got, Ok(0)) {
+                return Err(Reason::ClientClosed);
+            }
+            let got = without_wait(got)?;
+            self.bytes.extend_from_slice(&chunk[..got]);
+            all += got;
+            if got == 0 {
+                break;
+            }
+        }
+        Ok(all)
+    }
+
+    /// What was read may have been sent then.
+    fn came(&mut self, sent: At, anew: bool) {
+        self.read = sent;
+        if anew {
+            self.began = sent;
+        }
+    }
+
+    /// The next whole message, its bytes from the place given, and when it may have been sent: its client's time runs
+    /// from the first byte on.
+    fn next(&mut self, at: usize) -> Result<Option<(Message<'_>, usize, At)>, Reason> {
+        self.more = at >= CHUNK;
+        if self.more {
+            return Ok(None);
+        }
+        let Some(length) = self.scan.whole(&self.bytes[at..]).map_err(Reason::Malformed)? else {
+            return Ok(None);
+        };
+        self.scan = Scan::default();
+        let sent = std::mem::replace(&mut self.began, self.read);
+        match rpc::decode(&self.bytes[at..at + length]).map_err(Reason::Malformed)? {
+            Some((message, _)) => Ok(Some((message, length, sent))),
+            None => Err(Reason::Malformed("not MessagePack")),
+        }
+    }
+}
+
+fn converse(
+    state: &Arc<State>,
+    stream: &TcpStream,
+    peer: &Arc<Peer>,
+    mut queued_since: Option<At>,
+) -> Reason {
+    let (mut inbox, mut rounds) = (Inbox::default(), 0);
+    // A client that broke the protocol is heard no more, and has its answers to what it asked for before.
+    let mut broken = None;
     // A new connection may have waited in the listener's queue for as long as a stall lasted.
     let mut slept_since = At::default();
     loop {
@@ -71,24 +161,23 @@
             Ok(n) => n,
             Err(reason) => return reason,
         };
-        let read = if peer.reads_too_slowly() { Ok(0) } else { read(stream, &mut input) };
-        let read = match read {
+        let (anew, too_slow) = (inbox.bytes.is_empty(), peer.reads_too_slowly());
+        let read = match if too_slow { Ok(0) } else { inbox.read(stream) } {
             Ok(n) => n,
             Err(reason) => return reason,
         };
-        if read > 0
-            && let Err(reason) = take_messages(
-                state,
-                peer,
-                &mut input,
-                &mut scan,
-                state.heart.may_be_from(slept_since, state.clock.now()),
-            )
-        {
-            return reason;
+        if read > 0 {
+            let now = state.heart.may_be_from(slept_since, state.clock.now());
+            inbox.came(queued_since.take().map_or(now, |queued| queued.min(now)), anew);
+        }
+        let takes = !too_slow && (read > 0 || inbox.more);
+        if broken.is_some() {
+            inbox = Inbox::default();
+        } else if takes {
+            broken = take_messages(state, peer, &mut inbox).err();
         }
         let now = state.clock.now();
-        if wrote + read > 0 {
+        if wrote + read > 0 || takes {
             peer.stirred(now);
             rounds += 1;
             if rounds < BURST {
@@ -104,27 +193,39 @@
             continue;
         }
         rounds = 0;
-        if peer.awaits_since().is_some_and(|since| now.since(since) >= WHOLE_WITHIN) {
-            return Reason::NotWhole;
-        }
-        if peer.is_to_go() {
-            return Reason::RoomNeeded;
-        }
-        let quiet = now.since(peer.quiet_since());
-        if quiet >= NOT_READ && peer.has_unread() {
-            return Reason::NotRead;
-        }
-        if quiet >= QUIET && peer.is_idle() {
-            return Reason::Quiet;
-        }
-        if state.is_done() && peer.is_idle() {
-            return Reason::Stopped;
+        if let Some(reason) = over(state, peer, broken, now) {
+            return reason;
         }
         slept_since = now;
         stream.wait_io();
     }
 }
 
+/// Why this front ends a connection on which nothing happens, if it does: never while it owes an answer there that its
+/// client may still read.
+fn over(state: &State, peer: &Peer, broken: Option<Reason>, now: At) -> Option<Reason> {
+    let quiet = now.since(peer.quiet_since());
+    if peer.is_unread() && quiet >= state.answers_kept {
+        return Some(Reason::NotRead);
+    }
+    if !peer.is_idle() {
+        return None;
+    }
+    if broken.is_some() {
+        return broken;
+    }
+    if peer.awaits_since().is_some_and(|since| now.since(since) >= WHOLE_WITHIN) {
+        return Some(Reason::NotWhole);
+    }
+    if peer.is_to_go() {
+        return Some(Reason::RoomNeeded);
+    }
+    if quiet >= QUIET {
+        return Some(Reason::Quiet);
+    }
+    state.is_done().then_some(Reason::Stopped)
+}
+
 /// How many bytes went; none when the socket is not ready.
 fn without_wait(result: io::Result<usize>) -> Result<usize, Reason> {
     match result {
@@ -134,17 +235,6 @@
     }
 }
 
-fn read(stream: &TcpStream, input: &mut Vec<u8>) -> Result<usize, Reason> {
-    let mut chunk = [0; CHUNK];
-    let got = stream.inner().read(&mut chunk);
-    if matches!(got, Ok(0)) {
-        return Err(Reason::ClientClosed);
-    }
-    let got = without_wait(got)?;
-    input.extend_from_slice(&chunk[..got]);
-    Ok(got)
-}
-
 /// Whether a batch may be opened under this id; one that was used before ends the connection.
 fn open(peer: &Peer, id: u32) -> Result<bool, Reason> {
     match peer.opening(id) {
@@ -154,21 +244,10 @@
     }
 }
 
-fn take_messages(
-    state: &Arc<State>,
-    peer: &Arc<Peer>,
-    input: &mut Vec<u8>,
-    scan: &mut Scan,
-    sent: At,
-) -> Result<(), Reason> {
+fn take_messages(state: &Arc<State>, peer: &Arc<Peer>, inbox: &mut Inbox) -> Result<(), Reason> {
     let mut at = 0;
-    while let Some(length) = scan.whole(&input[at..]).map_err(Reason::Malformed)? {
-        *scan = Scan::default();
-        let whole = &input[at..at + length];
+    while let Some((message, length, sent)) = inbox.next(at)? {
         at += length;
-        let Some((message, _)) = rpc::decode(whole).map_err(Reason::Malformed)? else {
-            return Err(Reason::Malformed("not MessagePack"));
-        };
         match message {
             Message::Ping(id) => {
                 open(peer, id)?;
@@ -192,10 +271,10 @@
             }
         }
     }
-    input.drain(..at);
-    peer.awaits(at > 0, !input.is_empty(), state.clock.now());
-    if input.is_empty() {
-        *input = Vec::new();
+    inbox.bytes.drain(..at);
+    peer.awaits(at > 0, !inbox.bytes.is_empty(), state.clock.now());
+    if inbox.bytes.is_empty() {
+        inbox.bytes = Vec::new();
     }
     Ok(())
 }
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -21,7 +21,7 @@
 use crate::{board, timer};
 use larchfall::interface::{Caps, Effect, Given};
 use larchfall::policy::Policy;
-use larchfall::time::Span;
+use larchfall::time::{At, Span};
 use larchfall_duty::probing::Probing;
 use larchfall_duty::wire::Who;
 use larchfall_members::claim::About;
@@ -46,6 +46,18 @@
 /// A connection that is newer than this may be about to speak. Clients write as soon as they are connected: with
 /// more, hundreds that say nothing keep those that would speak waiting in the queue.
 const FRESH: Span = Span::from_millis(50);
+/// What waited in the listener's queue while nobody was taken in is out of it by so long after.
+const QUEUE_EMPTIES: Span = Span::from_millis(100);
+
+/// What was picked longer ago is not sent to an engine that drains by now: its grace runs. Nor is what would begin in
+/// the later part of that grace.
+const PICK_HOLDS: Span = Span::from_millis(600);
+const PICK_GRACE: f64 = 0.5;
+/// Answers that wait unread for so long, and for longer than any of them is still owed, have no reader; who only stands
+/// still for a while is owed them.
+const ANSWERS_KEPT: Span = Span::from_millis(10_000);
+/// An answer still counts as given for so long after its request's time.
+const LATE_ANSWERS: Span = Span::from_millis(500);
 
 /// Runs a front to its end; a failure with the exit code for it.
 pub fn run(
@@ -53,6 +65,7 @@
     config: Config,
     site: Option<(String, Site)>,
     parts: Parts,
+    caught: stop::Caught,
 ) -> Result<(), (u8, String)> {
     may::config().set_workers(1).set_stack_size(STACK / size_of::<usize>()).set_worker_pin(false);
     may::config().set_pool_capacity(SPARE_COROUTINES);
@@ -65,7 +78,6 @@
             let door = Door::new(site.clone(), config.seed)
                 .map_err(|e| (1, format!("no chance to be had for addresses: {e}")))?;
             Some((Arc::new(door), listen(site.listen)?, site))
-    caught: stop::Caught,
         }
         None => None,
     };
@@ -203,6 +215,7 @@
     let in_order = s.given.groups.iter().map(|g| g.in_order).collect();
     let referenced = s.given.groups.iter().map(|g| matches!(g.effect, Effect::Referenced { .. })).collect();
     let come_back = s.given.caps.come_back;
+    let longest = s.limits.iter().max().copied().unwrap_or_default();
     let list_holds = Some(board::TOLD_WITHIN + s.drain_grace);
     let links_kept = Pool::kept(s.idle_close);
     let (forgets, one_at_a_time) = (Some(RUNS_ON), s.one_at_a_time);
@@ -219,6 +232,8 @@
         referenced,
         come_back,
         connect_within: s.connect_within,
+        pick_holds: PICK_HOLDS.min(s.drain_grace * PICK_GRACE),
+        answers_kept: ANSWERS_KEPT.max(longest + LATE_ANSWERS),
         facade: Facade::new(policy, clock, limits.batches, alarms.clone()),
         alarms,
         peers: Peers::new(limits.unread),
@@ -240,17 +255,23 @@
 fn accept(state: &Arc<State>, listener: &TcpListener) {
     let most = state.limits.clients;
     let spare = most / SPARE + 1;
+    // Since when nobody was taken in, and when that was over.
+    let mut held_up: Option<(At, At)> = None;
     loop {
+        let called = state.clock.now();
         if state.peers.len() + spare >= most {
-            state.peers.make_room(spare, state.clock.now() - FRESH);
+            state.peers.make_room(spare, called - FRESH);
         }
-        if state.peers.len() >= most || state.heart.starves_others(state.clock.now()) {
+        if state.peers.len() >= most || state.heart.starves_others(called) {
             state.sleep(PAUSE);
+            held_up = Some((held_up.map_or(called, |(since, _)| since), state.clock.now()));
             continue;
         }
+        held_up = held_up.filter(|(_, until)| called.since(*until) < QUEUE_EMPTIES);
         match listener.accept() {
             Ok((stream, from)) => {
-                let (state, joined) = (state.clone(), rpc::join(state, stream, from));
+                let queued_since = held_up.map(|(since, _)| since);
+                let (state, joined) = (state.clone(), rpc::join(state, stream, from, queued_since));
                 may::go!(move || rpc::serve(&state, joined));
                 may::coroutine::yield_now();
             }
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -44,6 +44,10 @@
     pub come_back: Option<Span>,
     /// A connection to an engine that is not up by then counts as failed.
     pub connect_within: Span,
+    /// An engine that drains by now is sent what was picked for it no longer ago than this.
+    pub pick_holds: Span,
+    /// Answers that wait unread for so long have no reader.
+    pub answers_kept: Span,
     pub limits: Limits,
     pub heart: Heart,
     pub alarms: Arc<Alarms>,
--- a/front/src/state/peer.rs
+++ b/front/src/state/peer.rs
@@ -23,6 +23,8 @@
     quiet_since: At,
     /// Since when a message is awaited whole: the first one, or one that has begun.
     awaits_since: Option<At>,
+    /// A message of it was whole.
+    spoke: bool,
     /// Its place is needed.
     to_go: bool,
 }
@@ -124,15 +126,22 @@
     pub fn awaits(&self, any_whole: bool, more: bool, now: At) {
         let mut desk = lock(&self.desk);
         let since = desk.awaits_since.filter(|_| !any_whole).unwrap_or(now);
+        desk.spoke |= any_whole;
         desk.awaits_since = (more || !any_whole).then_some(since);
     }
 
+    pub fn has_spoken(&self) -> bool {
+        lock(&self.desk).spoke
+    }
+
     pub fn awaits_since(&self) -> Option<At> {
         lock(&self.desk).awaits_since
     }
 
-    pub fn has_unread(&self) -> bool {
-        !lock(&self.desk).unread.is_empty()
+    /// Whether all is answered, and some of that not yet read.
+    pub fn is_unread(&self) -> bool {
+        let desk = lock(&self.desk);
+        desk.open.is_empty() && !desk.unread.is_empty()
     }
 
     pub fn reads_too_slowly(&self) -> bool {
--- a/front/tests/front/crossings.rs
+++ b/front/tests/front/crossings.rs
@@ -160,6 +160,110 @@
     bytes
 }
 
+/// Guards against a client that sends much and goes: all of it lies there when the front reads, its end behind it.
+#[test]
+fn what_a_client_sent_that_is_gone_when_it_is_read_is_not_sent_on() {
+    let engine =
+        Engine::start("127.0.0.1:0", |_| Act::Serve(Duration::ZERO, vec![b"ok\n".to_vec()])).unwrap();
+    let front = Front::start(Some(engine.address));
+    let mut client = front.client();
+    client.send("look", &fields(ID, "20000"), "").unwrap();
+    assert_eq!(client.answer().unwrap().1, rows("ok\n"));
+    // The connection to the engine is at hand by then: nothing holds a call back.
+    thread::sleep(Duration::from_millis(100));
+    front.stop();
+    let stopped = Instant::now();
+    let mut much = front.client();
+    for n in 0..200 {
+        much.send("look", &fields(&format!("{n:016x}"), "20000"), "gone").unwrap();
+    }
+    drop(much);
+    // As after a stall: between two reads of one connection others have their turn.
+    wait_for("it to have stood still", || (stopped.elapsed() > Duration::from_millis(400)).then_some(()));
+    front.signal("-CONT");
+    front.log.wait_for("client connection ended");
+    client.send("look", &fields(NEXT, "20000"), "").unwrap();
+    assert_eq!(client.answer().unwrap().1, rows("ok\n"));
+    let gone = engine.seen().started.iter().filter(|c| c.statement == b"gone").count();
+    assert_eq!(gone, 0, "sent on for a client that was gone");
+}
+
+/// Guards against a connection that ends for what is wrong on it, while answers on it are still owed; with bytes unread its
+/// end was a reset, which took along what was on its way.
+#[test]
+fn who_breaks_the_protocol_has_the_answers_to_what_it_asked_before() {
+    let half = bytes_of(2, &fields(NEXT, "20000"), "")[..9].to_vec();
+    let twice = bytes_of(1, &fields(NEXT, "20000"), "");
+    let garbage = vec![0xc1; 300_000];
+    for (more, reason) in [(garbage, "malformed"), (twice, "id-used-twice"), (half, "no-whole-message")] {
+        let takes = Duration::from_millis(2_600);
+        let engine =
+            Engine::start("127.0.0.1:0", move |_| Act::Serve(takes, vec![b"ok\n".to_vec()])).unwrap();
+        let front = Front::start(Some(engine.address));
+        let mut client = front.client();
+        let bytes = [bytes_of(1, &fields(ID, "20000"), ""), more].concat();
+        client.raw(&bytes).unwrap();
+        assert_eq!(client.answer().unwrap(), (1, rows("ok\n")), "{reason}");
+        assert!(client.is_ended(), "{reason}");
+        front.log.wait_for(&format!("reason: {reason}"));
+    }
+}
+
+/// Guards against a deadline passed on that is longer than what the client has left: its time runs while it writes, while it
+/// waits to be taken in, and while a connection to the engine comes up.
+#[test]
+fn time_to_read_to_be_taken_in_and_to_dial_is_off_the_deadline_passed_on() {
+    const SLACK: u64 = 150;
+    let patience = |head: &str| -> u64 {
+        head.lines().find_map(|l| l.strip_prefix("x-patience: ")?.parse().ok()).unwrap()
+    };
+    let engine = Script::start(|call, stream| {
+        let long = call.body == "long" || call.line.starts_with("get");
+        stream.write_all(&if long { reply("202 Accepted", "", "") } else { served("ok\n") }).is_ok()
+    });
+    let left = |began: Instant| 5_000 - began.elapsed().as_millis() as u64 + SLACK;
+    // Of 64 descriptors 16 are for clients.
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let front = Front::start_on("127.0.0.1:0", board, Some(engine.address), 64);
+    let mut slow = front.client();
+    let bytes = bytes_of(1, &fields(ID, "5000"), "slow");
+    let began = Instant::now();
+    slow.raw(&bytes[..bytes.len() / 2]).unwrap();
+    thread::sleep(Duration::from_millis(500));
+    slow.raw(&bytes[bytes.len() / 2..]).unwrap();
+    assert_eq!(slow.answer().unwrap().1, rows("ok\n"));
+    let posts = engine.posts();
+    assert!(patience(&posts[0].head) <= left(began), "written slowly: {}", posts[0].head);
+    drop(slow);
+    // One that waits in the listener's queue while all places are taken and in use.
+    let mut busy: Vec<Client> = (0..16).map(|_| front.client()).collect();
+    for (n, client) in busy.iter_mut().enumerate() {
+        client.send("look", &fields(&format!("{n:016x}"), "25000"), "long").unwrap();
+    }
+    wait_for("all places to be in use", || (engine.posts().len() >= 17).then_some(()));
+    let mut queued = front.client();
+    let began = Instant::now();
+    queued.send("look", &fields(NEXT, "5000"), "queued").unwrap();
+    thread::sleep(Duration::from_millis(500));
+    busy.truncate(8);
+    assert_eq!(queued.answer().unwrap().1, rows("ok\n"));
+    let posts = engine.posts();
+    let call = posts.iter().find(|c| c.body == "queued").unwrap();
+    assert!(patience(&call.head) <= left(began), "waited in the queue: {}", call.head);
+    // One whose connection comes up late.
+    let full = Full::start();
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let text = config_of("127.0.0.1:0", board.address, &[full.address()], 256, &patient());
+    let front = Front::start_with(board, &text);
+    let began = Instant::now();
+    let mut client = front.client();
+    client.send("look", &fields(ID, "5000"), "").unwrap();
+    full.until_dialled();
+    thread::sleep(Duration::from_millis(500));
+    let call = read_call(&mut BufReader::new(full.let_in())).unwrap();
+    assert!(patience(&call.head) <= left(began), "dialled: {}", call.head);
+}
+
 /// Guards against a signal that ends a front which is not ready yet: its handlers came last.
 #[test]
 fn a_signal_before_a_front_is_ready_waits_until_it_is() {
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -318,6 +318,10 @@
     for (bytes, reason) in cases {
         let mut bad = front.client();
         bad.raw(bytes).unwrap();
+        if bytes == twice {
+            // What it asked for before it broke the protocol is answered.
+            assert_eq!(bad.answer().unwrap(), (1, rows("ok\n")));
+        }
         assert!(bad.is_ended(), "{reason}");
         let parts: Vec<&str> = reason.split(", ").collect();
         wait_for(reason, || {
