An attempt is looked at once more right before each write of it

Cause (engines/platform.rs, go): a placed attempt was looked at once, before the first connection's write. Where not a byte left there, a second connection was dialled, up to 250 ms, and written to with no look at whether the client still waited or the engine drained. The window of a repeat was looked at when it was placed and not when it began. 0.6 s between pick and write were let pass at an engine that drains, whatever the grace (0.5 s on the other customer). And a front that had stood still for less than a second, or had not looked at its sockets lately, sent before it read that a client had closed or an engine drained.

Change: may_begin, asked before each write, of the module too: client, list, window.

Tests: a repeat whose window ends during a slow dial was sent on the text before; the client that leaves during one was not (that was held already) and is kept as a test. The second connection is not forced by a test.

--- a/front/src/engines/platform.rs
+++ b/front/src/engines/platform.rs
@@ -27,8 +27,10 @@
 /// While a reader has no room, the engine is asked this often.
 const ASK_WITHIN: Span = Span::from_millis(1000);
 const PAUSE: Span = Span::from_millis(20);
-/// What was picked longer ago is not sent to an engine that drains by now: its grace runs.
-const FRESH: Span = Span::from_millis(600);
+/// Whoever waits until this front has heard its sockets goes on in the same moment as those who were heard.
+const LOOK: Span = Span::from_millis(5);
+/// Connections that one call may be tried on, as long as not a byte of it left.
+const CONNECTIONS: usize = 2;
 /// A dispatch that finds all descriptors in use is better told so at once.
 const SEAT_WITHIN: Span = Span::from_millis(20);
 /// Giving up must not hold up an answer.
@@ -112,53 +114,56 @@
     }
 
     fn go(&self) -> Ended {
-        let mut link = match self.link(self.until()) {
-            Ok(link) => link,
-            Err(why) => return self.not_sent(why),
-        };
-        let deaf = self.state.is_deaf();
-        while self.state.is_deaf() && self.state.clock.now() < self.until() {
-            self.state.sleep(PAUSE);
-        }
-        // Its client left while it waited for this connection, or the list moved its engine: another process may
-        // have the address, of another kind, cold, or with nothing to do with the one that was picked.
-        // And whatever was told while this front stood still may be past its grace.
-        let fresh = !deaf && self.state.clock.now().since(self.sent) < FRESH;
-        if self.state.facade.left(self.b).is_some()
-            || !self.state.facade.is_open(self.to.engine, self.home, fresh)
-        {
-            self.done(Some(link));
-            return not_sent(Outcome::Moot);
-        }
-        let call = http::start(
-            self.home.address,
-            &Start {
-                id: &self.task.id,
-                group: &self.state.names.groups[self.task.group],
-                patience: self.until().since(self.state.clock.now()),
-                reference: self.task.reference.as_deref(),
-                memory_mb: self.to.memory_mb,
-                priority: self.to.priority,
-                statement: &self.task.statement,
-            },
-        );
-        let mut reply = self.call(&mut link, &call, NEWS_WITHIN);
-        // A call of which nothing left is no dispatch: a fresh connection may carry it.
-        if reply == Err(Fault::Unsent) {
-            drop(link);
-            link = match self.link(self.until()) {
+        for _ in 0..CONNECTIONS {
+            let mut link = match self.link(self.until()) {
                 Ok(link) => link,
                 Err(why) => return self.not_sent(why),
             };
-            reply = self.call(&mut link, &call, NEWS_WITHIN);
-            if reply == Err(Fault::Unsent) {
-                drop(link);
-                return self.not_sent(NoLink::Silent);
+            if !self.may_begin() {
+                self.done(Some(link));
+                return not_sent(Outcome::Moot);
+            }
+            // A call of which nothing left is no dispatch: a fresh connection may carry it.
+            match self.call(&mut link, &self.start(), NEWS_WITHIN) {
+                Err(Fault::Unsent) => {}
+                reply => {
+                    // What comes on the call's own connection is said by the process that has it, or turned it away.
+                    self.same.set(true);
+                    return self.follow(link, reply);
+                }
             }
         }
-        // What comes on the call's own connection is said by the process that has it, or turned it away.
-        self.same.set(true);
-        self.follow(link, reply)
+        self.not_sent(NoLink::Silent)
+    }
+
+    /// Whether the call may go out now, asked right before each write of it: its client may have left while it waited
+    /// for this connection, the list may have moved its engine (another process may have the address, of another kind,
+    /// cold, or with nothing to do with the one that was picked), the window of a repeat may be over. A front that
+    /// stood still, or has not looked at its sockets lately, hears first what came meanwhile.
+    fn may_begin(&self) -> bool {
+        let deaf = self.state.is_deaf();
+        while self.state.hears_nothing() && self.state.clock.now() < self.until() {
+            self.state.sleep(LOOK);
+        }
+        // Whatever was told while this front stood still may be past its grace.
+        let fresh = !deaf && self.state.clock.now().since(self.sent) < self.state.pick_holds;
+        let engine = (self.to.engine, self.home);
+        self.state.clock.now() < self.until()
+            && self.state.facade.may_begin(self.b, self.number, engine, fresh)
+    }
+
+    /// The call that starts its statement, with the time that its client has left now.
+    fn start(&self) -> Vec<u8> {
+        let start = Start {
+            id: &self.task.id,
+            group: &self.state.names.groups[self.task.group],
+            patience: self.until().since(self.state.clock.now()),
+            reference: self.task.reference.as_deref(),
+            memory_mb: self.to.memory_mb,
+            priority: self.to.priority,
+            statement: &self.task.statement,
+        };
+        http::start(self.home.address, &start)
     }
 
     /// Asks for news until the end is known.
--- a/front/src/state/facade.rs
+++ b/front/src/state/facade.rs
@@ -386,10 +386,11 @@
         lock(&self.inner).engines.seen()
     }
 
-    /// Whether what was picked for this process may still be sent there.
-    pub fn is_open(&self, e: usize, home: Home, fresh: bool) -> bool {
+    /// Whether a dispatch that was picked for this process may begin there now; `fresh` where it was picked so lately
+    /// that one which drains by now may still have it.
+    pub fn may_begin(&self, b: usize, number: u8, (e, home): (usize, Home), fresh: bool) -> bool {
         let inner = lock(&self.inner);
-        inner.engines.is_open(e, home, fresh) && inner.policy.is_listed(self.clock.now())
+        inner.engines.is_open(e, home, fresh) && inner.policy.may_begin(self.clock.now(), b, number)
     }
 
     /// None once it is gone and nothing of this front's is out there.
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -86,6 +86,11 @@
 
     pub fn is_done(&self) -> bool {
         self.done.load(Ordering::Relaxed)
+    /// Whether what clients, engines and the board said a while ago may still be unread.
+    pub fn hears_nothing(&self) -> bool {
+        self.is_deaf() || self.heart.starves_others(self.clock.now())
+    }
+
     }
 
     /// Whether this front is to ask that engine for its load by itself: nobody who asks for all has told it lately.
--- a/front/tests/front/crossings.rs
+++ b/front/tests/front/crossings.rs
@@ -160,6 +160,57 @@
     bytes
 }
 
+/// Guards against what is sent on for a client that left while its connection to the engine came up.
+#[test]
+fn what_its_client_left_during_a_slow_dial_is_not_sent() {
+    let engine = Full::start();
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let text = config_of("127.0.0.1:0", board.address, &[engine.address()], 256, &patient());
+    let front = Front::start_with(board, &text);
+    let mut client = front.client();
+    client.send("look", &fields(ID, "25000"), "").unwrap();
+    engine.until_dialled();
+    drop(client);
+    front.log.wait_for("reason: client-closed");
+    let stream = engine.let_in();
+    let mut next = front.client();
+    // Whatever went out has come by then, and this one goes out on the connection that is up.
+    next.send("look", &fields(NEXT, "25000"), "").unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let call = read_call(&mut BufReader::new(stream)).unwrap();
+    assert!(call.head.contains(NEXT), "{call:?}");
+}
+
+/// Guards against a repeat that was placed within its window and begins after it, since its connection came up late.
+#[test]
+fn a_repeat_whose_window_ends_during_a_slow_dial_is_not_sent() {
+    let first = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at_first = first.local_addr().unwrap();
+    let second = Full::start();
+    let short = patient().replace(r#""dedup_window":12000000"#, r#""dedup_window":1500000"#);
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let text = config_of("127.0.0.1:0", board.address, &[at_first], 256, &short);
+    let front = Front::start_with(board, &text);
+    let mut client = front.client();
+    let sent = client.send("load", &keyed(ID, "25000"), "").unwrap();
+    let (held, _) = first.accept().unwrap();
+    let began = Instant::now();
+    assert!(read_call(&mut BufReader::new(held.try_clone().unwrap())).is_some());
+    // The other one joins before the first one dies with the call in its hands.
+    front.list(2, &[(1, at_first, 0), (2, second.address(), 0)]);
+    wait_for("the front to hear of it", || {
+        front.signal("-USR1");
+        front.log.last("board_events=")?.contains("board_events=2").then_some(())
+    });
+    drop((first, held));
+    second.until_dialled();
+    wait_for("the window to end", || (began.elapsed() > Duration::from_millis(1600)).then_some(()));
+    let stream = second.let_in();
+    assert!(matches!(client.answer().unwrap(), (id, Answer::Error(..)) if id == sent));
+    drop(front);
+    assert_eq!(all_of(stream), "", "a repeat after its window");
+}
+
 /// Guards against a client that sends much and goes: all of it lies there when the front reads, its end behind it.
 #[test]
 fn what_a_client_sent_that_is_gone_when_it_is_read_is_not_sent_on() {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -603,6 +603,16 @@
         held.over |= answer.over;
         held.may_run |= self.caps.one_at_a_time && !account::proves_over(answer.seen);
         let unsure = matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff);
+    /// Whether a dispatch placed a while ago may begin now: its client still waits, the list holds, and
+    /// what of its batch may have run is still known as the same.
+    pub fn may_begin(&self, now: At, b: usize, number: u8) -> bool {
+        let Some(held) = self.batches.get(&b).filter(|h| !h.over) else { return false };
+        let out = held.out.iter().find(|o| o.number == number && !o.called_off);
+        let Some(engine) = out.and_then(|o| self.engines.get(&o.engine)) else { return false };
+        let effect = self.groups[held.batch.group].effect;
+        self.is_listed(now) && may_repeat(effect, held.may_have_run, &engine.told, now, self.caps.clock_step)
+    }
+
         let key = held.batch.key.into_iter();
         key.for_each(|key| self.keys.ended(key, b, number, answer.seen, unsure, now));
         let Some(engine) = self.engines.get_mut(&out.engine) else { return Next::Over };
