A spoilt answer is no word of the engine: the query is asked after

Cause (engines/platform.rs, follow): every status but 202 and 200 ended an attempt as errored, with the proof that nothing of it ran on (Last::Ended); a 200 without a page count was a whole result. A spoilt answer, or one meant for another call, so let the next of a key go beside what ran, or gave a client rows of nobody.

Change: only 500 ends an attempt, 503 and 504 with X-Declined decline it, 200 with a page count returns it. Anything else ends the connection, and the query is asked after on another. What is not 204 proves no stop, and its connection is let go.

Test: five spoilt answers to the call, each followed by the query's own rows; fails on the text before at the first (204).

--- a/front/src/engines/platform.rs
+++ b/front/src/engines/platform.rs
@@ -185,9 +185,11 @@
                         self.state.sleep(PAUSE);
                     }
                 }
-                Ok(reply) if reply.status == 200 => return self.collect(link, reply),
-                Ok(reply) => {
-                    let declined = reply.declined && matches!(reply.status, 503 | 504);
+                Ok(reply) if reply.status == 200 && reply.pages.is_some() => {
+                    return self.collect(link, reply);
+                }
+                Ok(reply) if reply.status == 500 || reply.is_declined() => {
+                    let declined = reply.is_declined();
                     self.done(self.keep(link, reply.closes));
                     let outcome = if declined { Outcome::Full } else { Outcome::Errored };
                     // Where this is no answer to the call itself, whoever answers may not know it yet, or not be
@@ -202,7 +204,8 @@
                 // Its own time ran out, not the engine's: what is held there still comes on this connection.
                 Err(Fault::Late)
                     if link.as_ref().is_some_and(Link::owes) && self.state.clock.now() >= self.until() => {}
-                Err(_) => {
+                // Cut off, or an answer that no engine gives to this call: its end is asked for on another connection.
+                Ok(_) | Err(_) => {
                     drop(link.take());
                     self.state.facade.note(self.b, self.number, Note::CutOff);
                     let pause = PAUSE.min(self.until().since(self.state.clock.now()));
@@ -381,13 +384,12 @@
             }
             if let Some(mut open) = link.take() {
                 let by = until.min(self.state.clock.now() + NEWS_WITHIN);
-                let reply = open.call(&ask, &self.state.clock, by);
-                if let Ok(reply) = reply {
+                // Anything else does not say that it stops, and may be the answer to another call.
+                if let Ok(reply) = open.call(&ask, &self.state.clock, by)
+                    && reply.status == 204
+                {
                     self.done(self.keep(Some(open), reply.closes));
-                    // Anything else does not say that it stops.
-                    if reply.status == 204 {
-                        return self.end(Last::Stopped, outcome);
-                    }
+                    return self.end(Last::Stopped, outcome);
                 }
             }
             let now = self.state.clock.now();
--- a/front/src/wire/http.rs
+++ b/front/src/wire/http.rs
@@ -66,6 +66,13 @@
     pub body: Vec<u8>,
 }
 
+impl Reply {
+    /// Turned away unseen: the query never ran.
+    pub fn is_declined(&self) -> bool {
+        self.declined && matches!(self.status, 503 | 504)
+    }
+}
+
 pub type Malformed = &'static str;
 
 /// The reply at the start of these bytes and its length; `None` while it is not whole.
--- a/front/tests/front/crossings.rs
+++ b/front/tests/front/crossings.rs
@@ -160,6 +160,31 @@
     bytes
 }
 
+/// Guards against statuses that no engine gives to this call: a spoilt answer is no word of the engine's that the query has
+/// ended, or never ran.
+#[test]
+fn an_answer_that_no_engine_gives_to_a_call_proves_nothing_and_the_query_is_asked_after() {
+    let spoilt = [
+        reply("204 No Content", "", ""),
+        reply("404 Not Found", "", ""),
+        reply("503 Unavailable", "", ""),
+        reply("200 OK", "", ""),
+        reply("200 OK", "Page-No: 1\r\n", "another\n"),
+    ];
+    for answer in spoilt {
+        let said = String::from_utf8_lossy(&answer).into_owned();
+        let engine = Script::start(move |call, stream| {
+            let answer = if call.line.starts_with("post") { answer.clone() } else { served("own\n") };
+            stream.write_all(&answer).is_ok()
+        });
+        let front = Front::start(Some(engine.address));
+        let mut client = front.client();
+        client.send("once", &fields(ID, "20000"), "").unwrap();
+        assert_eq!(client.answer().unwrap().1, rows("own\n"), "{said}");
+        assert_eq!(engine.posts().len(), 1, "{said}");
+    }
+}
+
 /// Guards against what is sent on for a client that left while its connection to the engine came up.
 #[test]
 fn what_its_client_left_during_a_slow_dial_is_not_sent() {
