What is called off is answered in time, whatever its key waits for

Cause (engines/platform.rs, give_up): a batch in key order that the module calls off waits up to 2.4 s for its end to be known, also past its client's time; nothing answered meanwhile.

Change: while its client waits, the wait ends with the client's time.

Test: a query whose engine says nothing to DELETE, 1.5 s of time: answered 2.41 s after on the text before, within 2 s now.

--- a/front/src/engines/platform.rs
+++ b/front/src/engines/platform.rs
@@ -373,7 +373,11 @@
         let ask = http::give_up(self.home.address, &self.task.id);
         let began = self.state.clock.now();
         let called_off = outcome == Outcome::CalledOff;
-        let until = began + if called_off && self.task.in_order { FORGOTTEN_AFTER } else { within };
+        let mut until = began + if called_off && self.task.in_order { FORGOTTEN_AFTER } else { within };
+        // A client that still waits is due its answer, whatever its key waits for.
+        if self.state.facade.left(self.b).is_none() {
+            until = until.min(self.until().max(began + within));
+        }
         loop {
             if link.is_none() {
                 link = match self.link(until) {
--- a/front/tests/front/crossings.rs
+++ b/front/tests/front/crossings.rs
@@ -386,3 +386,29 @@
         let _ = std::fs::remove_file(&path);
     }
 }
+
+/// Guards against an answer that waits for the end of what was called off: a key in order whose batch may run again is
+/// called off for its pace, and its engine, asked to stop, says nothing.
+#[test]
+fn what_is_called_off_has_its_answer_in_time_whatever_its_key_waits_for() {
+    let engine = Script::start(|call, stream| {
+        if call.line.starts_with("delete") {
+            thread::sleep(Duration::from_secs(30));
+        }
+        // A hundredth done, and it says so at once: far slower than what it was said to take.
+        stream.write_all(&reply("202 Accepted", "X-Result: advance\r\nFigure: 0.01\r\n", "")).is_ok()
+    });
+    let again = settings().replace(
+        r#""effect":"idempotency_key","key_scope":"all","dedup_window":12000000"#,
+        r#""effect":"read_like""#,
+    );
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let text = config_of("127.0.0.1:0", board.address, &[engine.address], 256, &again);
+    let front = Front::start_with(board, &text);
+    let mut client = front.client();
+    let began = Instant::now();
+    client.send("load", &keyed(ID, "1500"), "").unwrap();
+    assert_eq!(client.answer().unwrap(), (1, refused()));
+    assert!(began.elapsed() < Duration::from_millis(2_000), "{:?}", began.elapsed());
+    assert!(engine.calls.lock().unwrap().iter().any(|c| c.line.starts_with("delete")), "not called off");
+}
