A connection rests 25 ms before it carries another call: second answers come late

Cause: an engine's answer may come a second time some milliseconds after the first. The connection was back in the pool by then, and the next call on it took the copy for its own answer: another batch's rows went to a client (the test shows it), a copied 503 would say that it never ran, a copied 204 that it stopped, so that the next of its key went beside it. The pool looked for stray bytes when it handed a connection out, which is too early.

Change: Pool::idle says from when on a connection may carry a call; a call waits until then rather than open a new one, and looks again for stray bytes.

Test: the second copy comes 10 ms after the first while the next call takes 60 ms; the text before answers with the first one's rows.

--- a/front/src/engines/platform.rs
+++ b/front/src/engines/platform.rs
@@ -459,13 +459,16 @@
 
 /// An idle connection to an engine, or a new one; only for the seated.
 fn link(state: &State, e: usize, home: Home, until: At) -> Result<Link, NoLink> {
-    let now = state.clock.now();
-    if let Some(link) = state.pool.idle(e, home, now) {
-        return Ok(link);
+    while let Some((link, rested)) = state.pool.idle(e, home, state.clock.now()) {
+        // A wait that is shorter than most answers; a new connection costs its engine work, and may not come up.
+        state.sleep(rested.since(state.clock.now()));
+        if link.is_quiet() {
+            return Ok(link);
+        }
     }
     let (seated, idle) = state.pool.open();
     state.counters.rest(|c| c.most_links = c.most_links.max(seated + idle));
-    Link::open(home, state.clock.left(until.min(now + state.connect_within)))
+    Link::open(home, state.clock.left(until.min(state.clock.now() + state.connect_within)))
 }
 
 /// Asks an engine for its load report; dispatches come first.
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -75,7 +75,9 @@
 
     /// Rests for so long.
     pub fn sleep(&self, span: Span) {
-        self.alarms.sleep(span);
+        if span > Span::ZERO {
+            self.alarms.sleep(span);
+        }
     }
 
     /// Whether this front stood still for long and has not heard since what the board told meanwhile.
@@ -84,13 +86,13 @@
         self.heart.deaf_for(self.clock.now(), heard) > Span::ZERO
     }
 
-    pub fn is_done(&self) -> bool {
-        self.done.load(Ordering::Relaxed)
     /// Whether what clients, engines and the board said a while ago may still be unread.
     pub fn hears_nothing(&self) -> bool {
         self.is_deaf() || self.heart.starves_others(self.clock.now())
     }
 
+    pub fn is_done(&self) -> bool {
+        self.done.load(Ordering::Relaxed)
     }
 
     /// Whether this front is to ask that engine for its load by itself: nobody who asks for all has told it lately.
--- a/front/src/state/pool.rs
+++ b/front/src/state/pool.rs
@@ -15,6 +15,9 @@
 const SPARE: usize = 8;
 /// The part of the time until engines close it that an idle connection is kept.
 const KEEP: f64 = 0.9;
+/// A second copy of an answer may come some milliseconds after the first. Whatever call went out on its connection
+/// meanwhile would take it for its own answer: another batch's rows, or a word that it never ran or has stopped.
+pub const RESTS: Span = Span::from_millis(25);
 
 pub struct Pool {
     seats: Seats,
@@ -31,6 +34,14 @@
 }
 
 impl Idle {
+    /// The one that was used last of those that have rested; else the one that has rested longest.
+    fn take(&mut self, e: usize, now: At) -> Option<(At, Link)> {
+        let links = self.by_engine.get_mut(&e).filter(|links| !links.is_empty())?;
+        let rested = links.iter().rposition(|(since, _)| now.since(*since) >= RESTS);
+        self.count -= 1;
+        Some(links.remove(rested.unwrap_or(0)))
+    }
+
     /// Drops the one that was idle longest.
     fn drop_oldest(&mut self) {
         let oldest = self.by_engine.iter().filter_map(|(e, v)| Some((v.first()?.0, *e))).min();
@@ -68,14 +79,14 @@
         self.seats.leave();
     }
 
-    /// An idle connection that is still good; else makes room for a new one. Only for the seated.
-    pub fn idle(&self, e: usize, home: Home, now: At) -> Option<Link> {
+    /// An idle connection that is still good, and from when on it may carry a call; else makes room for a new one. Only
+    /// for the seated.
+    pub fn idle(&self, e: usize, home: Home, now: At) -> Option<(Link, At)> {
         let mut idle = lock(&self.idle);
-        while let Some((since, link)) = idle.by_engine.get_mut(&e).and_then(Vec::pop) {
-            idle.count -= 1;
+        while let Some((since, link)) = idle.take(e, now) {
             // One that was in use while its engine moved came back after all others were dropped.
             if now.since(since) < self.keep && link.home() == home && link.is_quiet() {
-                return Some(link);
+                return Some((link, since + RESTS));
             }
         }
         while idle.count > 0 && idle.count + idle.seated > self.most {
--- a/front/tests/front/crossings.rs
+++ b/front/tests/front/crossings.rs
@@ -160,6 +160,28 @@
     bytes
 }
 
+/// Guards against a call that goes out on a connection on which a second copy of the answer before it is still to come: it
+/// took that for its own, and its client had another's rows.
+#[test]
+fn a_second_copy_of_an_answer_is_not_taken_for_the_next_ones() {
+    let engine = Script::start(|call, stream| {
+        // The second answer takes longer than the copy of the first.
+        if call.body == "second" {
+            thread::sleep(Duration::from_millis(60));
+        }
+        let answer = served(&format!("{}\n", call.body));
+        stream.write_all(&answer).unwrap();
+        thread::sleep(Duration::from_millis(10));
+        stream.write_all(&answer).is_ok()
+    });
+    let front = Front::start(Some(engine.address));
+    let mut client = front.client();
+    for (id, statement) in [(ID, "first"), (NEXT, "second")] {
+        client.send("look", &fields(id, "20000"), statement).unwrap();
+        assert_eq!(client.answer().unwrap().1, rows(&format!("{statement}\n")));
+    }
+}
+
 /// Guards against statuses that no engine gives to this call: a spoilt answer is no word of the engine's that the query has
 /// ended, or never ran.
 #[test]
--- a/front/tests/front/memory.rs
+++ b/front/tests/front/memory.rs
@@ -16,7 +16,7 @@
 use larchfall_front::state::heart::Heart;
 use larchfall_front::state::limits::Limits;
 use larchfall_front::state::peer::{MOST_OPEN, Opening, Peers};
-use larchfall_front::state::pool::Pool;
+use larchfall_front::state::pool::{Pool, RESTS};
 use larchfall_front::state::seats::Seats;
 use larchfall_front::wire::board::{Entry, Event};
 use larchfall_front::wire::{http, rpc};
@@ -196,7 +196,8 @@
         let open = |address| Link::open(v4(address), SOON).unwrap();
         pool.keep(0, open(engine.address), ms(0));
         assert!(pool.idle(1, v4(engine.address), ms(10)).is_none(), "of another engine");
-        assert!(pool.idle(0, v4(engine.address), ms(10)).is_some(), "fresh");
+        let (_, rested) = pool.idle(0, v4(engine.address), ms(10)).expect("fresh");
+        assert_eq!(rested, ms(0) + RESTS, "a second answer may come on it until then");
         assert!(pool.idle(0, v4(engine.address), ms(10)).is_none(), "handed out once");
         pool.keep(0, open(engine.address), ms(0));
         assert!(pool.idle(0, v4(engine.address), ms(9_000)).is_none(), "near the engine's idle time");
@@ -214,6 +215,12 @@
         pool.keep(0, open(engine.address), ms(0));
         pool.forget(0);
         assert!(pool.idle(0, v4(engine.address), ms(1)).is_none(), "its engine is gone");
+        let pool = Pool::new(4, Span::from_millis(10_000));
+        [0, 20, 100].iter().for_each(|at| pool.keep(0, open(engine.address), ms(*at)));
+        let rested = |now| pool.idle(0, v4(engine.address), ms(now)).map(|(_, rested)| rested);
+        assert_eq!(rested(110), Some(ms(20) + RESTS), "the youngest of those that have rested");
+        assert_eq!(rested(60), Some(ms(0) + RESTS), "another one that has rested");
+        assert_eq!(rested(110), Some(ms(100) + RESTS), "none has, and this one will have first");
     });
 }
 
