A key rests for as long as the list calls an engine draining that was not seen to end

Change: Account::hold, at each tick: an entry without a proven end stays while its engine is listed as draining. 8 s hold as before where the list says nothing.

Test: the model has engines that drain until they are gone, and a reading with the fixed time alone, which it finds to break rule 5; with the hold every order keeps it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -788,6 +788,8 @@
                 // A foretold lateness is load too, unless so far off that the plan, not the engine, is bad.
                 let paced = out.foretold.filter(|f| *f < astray).unwrap_or_default();
                 let is_late = now.since(out.sent).max(paced) > goal && !out.stood && !out.cut_off;
+        let about_to_go = |e| self.engines.get(&e).is_some_and(|x| x.told.state == EngineState::Draining);
+        self.keys.hold(now + TICK * 2.0, about_to_go);
                 engine.budgets.overdue += f64::from(is_late);
                 let heard = engine.heard.max(out.heard);
                 let silent = self.caps.notes_every.is_some_and(|n| now.since(heard) > n * NOTE_SLACK);
@@ -927,7 +929,7 @@
         if held.dispatches > 0 {
             self.ration.further.push_back(now);
         }
-        held.batch.key.into_iter().for_each(|key| self.keys.sent(key, b, held.dispatches as u8));
+        held.batch.key.into_iter().for_each(|key| self.keys.sent(key, b, held.dispatches as u8, e));
         engine.health.trial_at = now + engine.health.trial_gap;
         engine.budgets.running[g] += self.threads[g];
         engine.budgets.batches += 1;
--- a/src/policy/account.rs
+++ b/src/policy/account.rs
@@ -22,8 +22,11 @@
 struct Entry {
     batch: Option<usize>,
     number: u8,
+    engine: usize,
     /// Open while it is out.
     until: Option<At>,
+    /// It had its outcome, and nothing proved its end.
+    unseen: bool,
 }
 
 /// Batches of one key in the order taken, and what of the key may run.
@@ -58,8 +61,9 @@
         line.taken.front() == Some(&b) && line.may_run.iter().all(over)
     }
 
-    pub fn sent(&mut self, key: u64, b: usize, number: u8) {
-        self.lines.entry(key).or_default().may_run.push(Entry { batch: Some(b), number, until: None });
+    pub fn sent(&mut self, key: u64, b: usize, number: u8, engine: usize) {
+        let entry = Entry { batch: Some(b), number, engine, until: None, unseen: false };
+        self.lines.entry(key).or_default().may_run.push(entry);
     }
 
     /// The dispatch has its outcome; `unsure` where the rule asks for a rest, as after all that was given up.
@@ -69,10 +73,16 @@
         let rests = unsure || over > now || matches!(seen.last, Last::Stopped | Last::Unknown);
         let until = over + if rests { self.quiet } else { Span::ZERO };
         let this = |e: &&mut Entry| e.batch == Some(b) && e.number == number;
-        line.may_run.iter_mut().filter(this).for_each(|e| e.until = Some(until));
+        line.may_run.iter_mut().filter(this).for_each(|e| (e.until, e.unseen) = (Some(until), over > now));
         line.may_run.retain(|e| e.until.is_none_or(|until| until > now));
     }
 
+    /// What was not seen to end at an engine about to go may run on until that is gone, however late.
+    pub fn hold(&mut self, until: At, about_to_go: impl Fn(usize) -> bool) {
+        let all = self.lines.values_mut().flat_map(|line| &mut line.may_run);
+        all.filter(|e| e.unseen && about_to_go(e.engine)).for_each(|e| e.until = e.until.max(Some(until)));
+    }
+
     /// Its batch is over: what may run of it stays on the account, under no index.
     pub fn leave(&mut self, key: u64, b: usize) {
         let Some(line) = self.lines.get_mut(&key) else { return };
--- a/tests/account.rs
+++ b/tests/account.rs
@@ -55,6 +55,8 @@
     /// By address: the process that listens there, if any. One that listens no more runs on what it has.
     listens: Vec<Option<usize>>,
     processes: usize,
+    /// Those that the list calls about to go: they listen no more, and may run on what they have until they are gone.
+    drains: Vec<usize>,
     cuts: u8,
     broken: Option<&'static str>,
 }
@@ -72,17 +74,21 @@
     Panic(usize),
     Leave(usize),
     Close(usize),
+    /// It takes no more in, the list says so, and it is gone only with `Gone`.
+    Drain(usize),
+    Gone,
     Replace(usize),
     Tick,
 }
 
 /// How the front reads what is said: with care, or as it did before the account, when every 204 was an end, or
-/// when an engine about to go was held to forget like any other.
+/// when an engine about to go was held to forget like any other, or to be gone within a fixed time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Reading {
     Careful,
     Trusting,
     Forgotten,
+    FixedTime,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -110,6 +116,7 @@
             ended: Vec::new(),
             listens: (0..x.engines).map(Some).collect(),
             processes: x.engines,
+            drains: Vec::new(),
             cuts: 0,
             broken: None,
         }
@@ -138,7 +145,8 @@
             Act::Ask(b) | Act::Stop(b) => out(b) && !self.on_its_way(b),
             Act::GiveUp(b) | Act::Panic(b) => out(b),
             Act::Leave(b) => *is(b) == Is::Waits,
-            Act::Close(e) => self.listens[e].is_some(),
+            Act::Close(e) | Act::Drain(e) => self.listens[e].is_some(),
+            Act::Gone => !self.drains.is_empty(),
             Act::Replace(e) => self.listens[e].is_none() && self.processes < x.processes,
             Act::Tick => self.now < x.ticks && !(0..x.batches).any(|b| self.on_its_way(b)),
         }
@@ -151,7 +159,8 @@
             acts.extend([Act::Stop(b), Act::GiveUp(b), Act::Panic(b), Act::Leave(b)]);
             acts.extend((0..x.engines).map(|e| Act::Send(b, e)));
         }
-        acts.extend((0..x.engines).flat_map(|e| [Act::Close(e), Act::Replace(e)]));
+        acts.extend((0..x.engines).flat_map(|e| [Act::Close(e), Act::Drain(e), Act::Replace(e)]));
+        acts.push(Act::Gone);
         acts
     }
 
@@ -166,7 +175,7 @@
                     self.broken = Some("sent while an earlier one is not over");
                 }
                 let process = self.listens[e].unwrap();
-                self.account.sent(KEY, b, self.batches[b].1);
+                self.account.sent(KEY, b, self.batches[b].1, process);
                 self.flying.push(There { batch: b, process, since: self.now });
                 let link = Some(Link { process, same: true });
                 self.batches[b].0 = Is::Out { engine: e, link };
@@ -193,6 +202,11 @@
             }
             Act::Leave(b) => self.leave(b),
             Act::Close(e) => self.listens[e] = None,
+            Act::Drain(e) => self.drains.extend(self.listens[e].take()),
+            Act::Gone => {
+                let gone = self.drains.remove(0);
+                self.running.retain(|r| r.process != gone);
+            }
             Act::Replace(e) => {
                 self.listens[e] = Some(self.processes);
                 self.processes += 1;
@@ -203,7 +217,11 @@
                 self.flying.retain(|f| now - f.since <= 1);
                 let listens = &self.listens;
                 let held = |r: &There| if listens.contains(&Some(r.process)) { FORGETS } else { RUNS_ON };
-                self.running.retain(|r| now - r.since <= held(r));
+                let drains = &self.drains;
+                self.running.retain(|r| drains.contains(&r.process) || now - r.since <= held(r));
+                if x.reading != Reading::FixedTime {
+                    self.account.hold(at(now + 2), |process| drains.contains(&process));
+                }
                 self.account.tidy(at(now));
             }
         }
@@ -290,7 +308,7 @@
 
 #[test]
 fn readings_of_before_are_found_to_break_the_rule() {
-    for reading in [Reading::Trusting, Reading::Forgotten] {
+    for reading in [Reading::Trusting, Reading::Forgotten, Reading::FixedTime] {
         let checker = Bounds { reading, ..TWO }.checker().threads(4).spawn_bfs().join();
         let states = checker.unique_state_count();
         assert!(checker.discovery("rule 5").is_some(), "{reading:?}: {states} states");
@@ -320,7 +338,7 @@
 fn an_index_that_serves_again_is_not_taken_for_the_one_before() {
     let mut account = Account::new(Span::ZERO, LETS_GO);
     account.take(KEY, 0);
-    account.sent(KEY, 0, 0);
+    account.sent(KEY, 0, 0, 0);
     account.ended(KEY, 0, 0, Seen { last: Last::Lost, same: false }, false, at(0));
     account.leave(KEY, 0);
     account.take(KEY, 0);
@@ -348,7 +366,7 @@
     for (last, unsure, rests) in cases {
         let mut account = Account::new(Span::from_micros(QUIET), LETS_GO);
         account.take(KEY, 0);
-        account.sent(KEY, 0, 0);
+        account.sent(KEY, 0, 0, 0);
         account.ended(KEY, 0, 0, Seen { last, same: true }, unsure, at(0));
         account.leave(KEY, 0);
         account.take(KEY, 1);
