An engine in slow start is sent its budget by all fronts together: turns in place of luck

Cause (policy.rs, Cold): what is more than a front's share of an engine in slow start went by luck, drawn once a window by each front. The sum scatters, and shares of lighter classes come on top of it. A process started anew knew nothing of what the one before it had sent.

Change: turns. The settings number the fronts; in each quarter of the window so many of them may send one batch beyond their share as the budget leaves (cold_turns: by the mix of classes, beside shares within half of the slack). Which, moves on by the golden section from the engine's start, on the one clock there is. For one window after its own start a front sends nothing to an engine that is older than itself. Gone: luck, its part.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,8 +60,10 @@
 const NOTE_SLACK: f64 = 1.6;
 // What this front spends of its part of the cold rule's budget: estimates of work scatter.
 const COLD_SPEND: f64 = 0.85;
-// And what all fronts may expect to send by luck, since that scatters more.
-const COLD_LUCK: f64 = 0.7;
+// The part of the rule's window that a turn lasts, and the part of all fronts by which turns go on: with
+// this one, those of the last few turns lie evenly apart.
+const COLD_TURN: f64 = 0.25;
+const COLD_STEP: f64 = 0.618_033_988_75;
 // A dispatch that its pace makes this many times the usual stretch of its estimate has gone wrong.
 const ASTRAY: f64 = 4.0;
 // Threads of free budget that a data set read there lately is worth, and an engine in this front's own zone.
@@ -240,25 +242,32 @@
 }
 
 /// Rule 4: what this front sent a cold engine lately, as usual work, against its even share of what all may,
-/// which holds however uneven traffic is. Under one batch, one goes by luck, drawn each window: few send.
+/// which holds however uneven traffic is. What is over that share goes by turns: few fronts send at a time.
 #[derive(Default)]
 struct Cold {
     sent: VecDeque<(At, f64)>,
-    luck: f64,
-    drawn: At,
 }
 
 impl Cold {
-    fn allows(&mut self, rule: &ColdRule, share: f64, work: f64, now: At, chance: &mut WyRand) -> bool {
-        self.sent.retain(|(at, _)| now.since(*at) <= rule.window);
+    fn allows(&mut self, window: Span, share: f64, work: f64, turn: bool, now: At) -> bool {
+        self.sent.retain(|(at, _)| now.since(*at) <= window);
         let spent: f64 = self.sent.iter().map(|(_, w)| w).sum();
-        if now.since(self.drawn) >= rule.window {
-            (self.drawn, self.luck) = (now, chance.generate::<f64>());
-        }
-        spent + work <= share * COLD_SPEND || (spent <= 0.0 && self.luck * work < share * COLD_LUCK)
+        spent + work <= share * COLD_SPEND || (spent <= 0.0 && turn)
     }
 }
 
+/// Fronts that have a turn in the rule's window, for each batch of the mix of (batches, work): what goes by
+/// turns alone stays within the budget, and beside shares within what they leave of it and half of the slack.
+fn cold_turns(all: f64, share: f64, mix: &[(f64, f64)]) -> f64 {
+    let (by_turns, fit): (Vec<_>, Vec<_>) = mix.iter().partition(|(_, work)| *work > share * COLD_SPEND);
+    let sum = |mix: &[(f64, f64)]| mix.iter().map(|(n, work)| n * work).sum::<f64>();
+    let mean = sum(mix) / mix.iter().map(|(n, _)| n).sum::<f64>();
+    let batches = all / mean;
+    let slack = if batches < 30.0 { 3.0 * batches.sqrt() + 3.0 } else { 2.0 * batches.sqrt() + 2.0 };
+    let left = if fit.is_empty() { all } else { all * (1.0 - COLD_SPEND) + slack * mean / 2.0 };
+    left / sum(&by_turns).max(1e-9) / (1.0 + COLD_TURN)
+}
+
 /// The sequential test on an engine's outcomes: evidence for a failing one adds up, sound outcomes take it
 /// down. A failing engine gets a trial now and then; good ones or a new start clear it.
 #[derive(Default)]
@@ -456,6 +465,8 @@
     asked: Vec<f64>,
     engines: BTreeMap<usize, EngineNow>,
     batches: BTreeMap<usize, Held>,
+    /// When this front was first told of an engine.
+    began: Option<At>,
     /// Batches out of this front and of all, at engines that told, fading.
     held_there: (f64, f64),
     /// What engines mostly tell of their load, and how slow answers mostly are.
@@ -511,6 +522,7 @@
             groups,
             engines: BTreeMap::new(),
             batches: BTreeMap::new(),
+            began: None,
             held_there: (0.0, 0.0),
             mostly: [0.0; 2],
             taken: 0.0,
@@ -533,6 +545,7 @@
     }
 
     pub fn engine(&mut self, now: At, e: usize, told: Engine) {
+        self.began.get_or_insert(now);
         if let Some(engine) = self.engines.get_mut(&e) {
             if engine.told.started != told.started {
                 // Whatever was held against the process that ran there before says nothing of the new one.
@@ -590,6 +603,16 @@
         }
     }
 
+    /// Whether a dispatch placed a while ago may begin now: its client still waits, the list holds, and
+    /// what of its batch may have run is still known as the same.
+    pub fn may_begin(&self, now: At, b: usize, number: u8) -> bool {
+        let Some(held) = self.batches.get(&b).filter(|h| !h.over) else { return false };
+        let out = held.out.iter().find(|o| o.number == number && !o.called_off);
+        let Some(engine) = out.and_then(|o| self.engines.get(&o.engine)) else { return false };
+        let effect = self.groups[held.batch.group].effect;
+        self.is_listed(now) && may_repeat(effect, held.may_have_run, &engine.told, now, self.caps.clock_step)
+    }
+
     /// What to do after this outcome.
     pub fn after(&mut self, now: At, b: usize, number: u8, answer: &Answer) -> Next {
         let Some(held) = self.batches.get_mut(&b) else { return Next::Over };
@@ -603,16 +626,6 @@
         held.over |= answer.over;
         held.may_run |= self.caps.one_at_a_time && !account::proves_over(answer.seen);
         let unsure = matches!(answer.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff);
-    /// Whether a dispatch placed a while ago may begin now: its client still waits, the list holds, and
-    /// what of its batch may have run is still known as the same.
-    pub fn may_begin(&self, now: At, b: usize, number: u8) -> bool {
-        let Some(held) = self.batches.get(&b).filter(|h| !h.over) else { return false };
-        let out = held.out.iter().find(|o| o.number == number && !o.called_off);
-        let Some(engine) = out.and_then(|o| self.engines.get(&o.engine)) else { return false };
-        let effect = self.groups[held.batch.group].effect;
-        self.is_listed(now) && may_repeat(effect, held.may_have_run, &engine.told, now, self.caps.clock_step)
-    }
-
         let key = held.batch.key.into_iter();
         key.for_each(|key| self.keys.ended(key, b, number, answer.seen, unsure, now));
         let Some(engine) = self.engines.get_mut(&out.engine) else { return Next::Over };
@@ -775,6 +788,8 @@
     }
 
     pub fn tick(&mut self, now: At) {
+        let about_to_go = |e| self.engines.get(&e).is_some_and(|x| x.told.state == EngineState::Draining);
+        self.keys.hold(now + TICK * 2.0, about_to_go);
         self.keys.tidy(now);
         // Else calm lets the bounds of all fronts grow to the whole engine, and the next surge stuffs it.
         let most = if self.held_there.1 > 0.0 { (SHARE_ROOM * self.part()).min(1.0) } else { 1.0 };
@@ -788,8 +803,6 @@
                 // A foretold lateness is load too, unless so far off that the plan, not the engine, is bad.
                 let paced = out.foretold.filter(|f| *f < astray).unwrap_or_default();
                 let is_late = now.since(out.sent).max(paced) > goal && !out.stood && !out.cut_off;
-        let about_to_go = |e| self.engines.get(&e).is_some_and(|x| x.told.state == EngineState::Draining);
-        self.keys.hold(now + TICK * 2.0, about_to_go);
                 engine.budgets.overdue += f64::from(is_late);
                 let heard = engine.heard.max(out.heard);
                 let silent = self.caps.notes_every.is_some_and(|n| now.since(heard) > n * NOTE_SLACK);
@@ -866,7 +879,9 @@
         let held = self.batches.get(&b).filter(|_| self.is_listed(now))?;
         let g = held.batch.group;
         let group = &self.groups[g];
-        let mean = self.usual[g].mean();
+        let batches = self.asked.iter().zip(&self.threads).map(|(asked, threads)| asked / threads);
+        let mix: Vec<(f64, f64)> = batches.zip(self.usual.iter().map(Usual::mean)).collect();
+        let (began, fronts) = (self.began.unwrap_or(now), self.fleet.fronts as f64);
         // With most engines judged failing the judgement itself is in doubt: go by budgets alone. Full but
         // sound ones count: what they have no room for must not spill onto a failing one.
         // What may have run is looked for where it ran, and a subset with nothing ready for a group is none.
@@ -893,9 +908,19 @@
             }
             let (rule, warm) = (&self.cold, self.cold.warmth(engine.told.started, now));
             let all = rule.multiple * warm * self.fleet.cores(&engine.told) * 0.85 * rule.window.secs();
-            let share = all * engine.part.unwrap_or(1.0 / self.fleet.fronts as f64);
-            if warm < 1.0 && all > 0.0 && !engine.cold.allows(rule, share, mean, now, &mut self.chance) {
-                continue;
+            if warm < 1.0 && all > 0.0 {
+                let part = engine.part.unwrap_or(1.0 / fronts);
+                let (share, turns) = (all * part, mix[g].0 * cold_turns(all, all * part, &mix));
+                let age = engine.told.started.map_or(Span::ZERO, |at| now.since(at));
+                let slot = (age / (rule.window * COLD_TURN)).floor();
+                let many = turns * COLD_TURN * part * fronts;
+                let open = ((slot + 1.0) * many).floor() - (slot * many).floor();
+                let turn = (self.fleet.me as f64 + slot * (COLD_STEP * fronts).round()) % fronts < open;
+                // A process before this one may have sent there what it does not know of.
+                let unknown = engine.told.started < Some(began) && now.since(began) < rule.window;
+                if unknown || !engine.cold.allows(rule.window, share, mix[g].1, turn, now) {
+                    continue;
+                }
             }
             // Behind a holder it would stand still whatever its budget: such an engine comes last.
             let set = held.batch.data_set;
