Settings that are missing, out of range or against each other are refused by name

Cause: a class without a time limit, a window of repeats of nothing, a share of capacity over 1, a front numbered beyond all fronts and the like were read as they came.

Keys that are not known are passed over, as the wire's page asks.

Test: nineteen more rows in the table of refused configurations.

--- a/front/tests/front/memory.rs
+++ b/front/tests/front/memory.rs
@@ -421,6 +421,38 @@
         ("\"zone\":\"east\"|\"zone\":\"moon\"", "known.notices, rev 1: zone 'moon' is not in the settings"),
         ("read_like|write_like", "settings: classes[0].effect: unknown word 'write_like'"),
         ("\"classes\":|\"others\":", "settings.classes: no service group"),
+        // Missing, out of range, or against each other.
+        ("\"instances\":1,\"me\":0|\"instances\":1,\"me\":1", "settings: me: not under instances"),
+        ("\"az\":0|\"az\":1", "settings: az: no place in zones"),
+        ("\"zones\":[\"east\"]|\"zones\":[\"east\",\"east\"]", "settings: zones[1]: 'east' comes twice"),
+        ("\"name\":\"once\"|\"name\":\"look\"", "settings: classes[1]: 'look' comes twice"),
+        ("\"name\":\"once\",|", "settings: classes[1]: without a name"),
+        ("\"hard_limit\":30000000|\"limit\":1", "settings: classes[0].hard_limit: missing or zero"),
+        ("\"aim\":1000000|\"aim\":0", "settings: classes[0].aim: missing or zero"),
+        ("\"dedup_window\":12000000,|", "settings: classes[2].dedup_window: missing or zero"),
+        (
+            "\"key_scope\":\"all\"|\"key_scope\":\"moon\"",
+            "settings: classes[2].key_scope: unknown word 'moon'",
+        ),
+        ("\"worth\":2.0|\"worth\":-2.0", "settings: classes[2].worth: no number from zero up"),
+        ("\"worth\":2.0|\"worth\":2,\"stays_in\":[1]", "settings: classes[2].stays_in: names a place"),
+        (
+            "\"worth\":2.0|\"worth\":2,\"models_open\":[]",
+            "settings: classes[2].models_open: leaves no engine",
+        ),
+        (
+            "\"threads_by_class\":[1,1,1]|\"threads_by_class\":[1,1,1,1]",
+            "settings: domain.threads_by_class: of 4",
+        ),
+        ("\"size_cores\":[64]|\"size_cores\":[-64]", "settings: domain.size_cores[0]: no number"),
+        ("\"cold_from\":0.3|\"cold_from\":3", "settings: safety.cold_from: no share"),
+        ("\"cold_from\":0.3,|", "settings: safety.cold_from: missing or zero where"),
+        ("\"fall_multiple\":3.0|\"fall_multiple\":\"3\"", "settings: invalid type"),
+        ("\"cold_from\"|\"budget_free\":2,\"cold_from\"", "settings: safety.extra_window: missing or zero"),
+        (
+            "\"allowance_per_s\":1000|\"allowance_per_s\":-1",
+            "settings: parties[0].allowance_per_s: no number",
+        ),
     ];
     for (change, says) in cases {
         let text = match change.split_once('|') {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -1,6 +1,8 @@
 //! The JSON settings that a front starts with, read into the interface's plain types. Keys that are not known
 //! are passed over; what is absent is taken as the wire's page says.
 
+mod check;
+
 use larchfall::interface::*;
 use larchfall::time::Span;
 use serde::Deserialize;
@@ -132,6 +134,7 @@
 
 pub fn read(text: &[u8]) -> Result<Settings, String> {
     let raw: Raw = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    check::check(&raw)?;
     let us = Span::from_micros;
     let some = |n: u64| (n > 0).then(|| us(n));
     let mut groups = Vec::new();
