Tests of crossings at shutdown and with idle clients in all places

SIGTERM twice, SIGTERM while the files are read again, a request in pieces over it; discovery that comes back while idle clients hold all places.

--- a/front/tests/front/crossings.rs
+++ b/front/tests/front/crossings.rs
@@ -2,6 +2,7 @@
 //! a marked point. The list of them is docs/races.md.
 
 use crate::common::{Front, PROGRAM, config, config_of, settings, wait_for};
+use larchfall_rig::relay::{Relays, Way};
 use larchfall_toy::board::Board;
 use larchfall_toy::client::{Answer, Client, request};
 use larchfall_toy::engine::{Act, Engine};
@@ -434,3 +435,58 @@
     assert!(began.elapsed() < Duration::from_millis(2_000), "{:?}", began.elapsed());
     assert!(engine.calls.lock().unwrap().iter().any(|c| c.line.starts_with("delete")), "not called off");
 }
+
+/// Guards against an end that comes by a second signal, or while the files are read again, or between two pieces of a request.
+#[test]
+fn told_to_stop_twice_and_while_it_reads_its_files_a_front_answers_what_comes_in_pieces() {
+    let takes = Duration::from_millis(300);
+    let engine = Engine::start("127.0.0.1:0", move |_| Act::Serve(takes, vec![b"ok\n".to_vec()])).unwrap();
+    let mut front = Front::start(Some(engine.address));
+    let mut client = front.client();
+    let bytes = bytes_of(1, &fields(ID, "20000"), "");
+    client.raw(&bytes[..9]).unwrap();
+    // A file that nobody writes: whoever reads it waits.
+    std::fs::remove_file(&front.file).unwrap();
+    assert!(Command::new("mkfifo").arg(&front.file).status().unwrap().success());
+    front.signal("-HUP");
+    front.signal("-TERM");
+    front.log.wait_for("told to stop");
+    front.signal("-TERM");
+    client.raw(&bytes[9..]).unwrap();
+    assert_eq!(client.answer().unwrap(), (1, rows("ok\n")));
+    assert!(client.is_ended());
+    assert!(front.ended().success());
+}
+
+/// Guards against idle clients that take what a connection to discovery or to an engine needs.
+#[test]
+fn discovery_and_engines_come_back_while_idle_clients_hold_all_places() {
+    let serves =
+        || Engine::start("127.0.0.1:0", |_| Act::Serve(Duration::ZERO, vec![b"ok\n".to_vec()])).unwrap();
+    let (old, new) = (serves(), serves());
+    let board = Board::start("127.0.0.1:0").unwrap();
+    let way = Relays::start(1, &[board.address]).unwrap();
+    // Of 64 descriptors 16 are for clients.
+    let text = config_of("127.0.0.1:0", way.address(0, 0), &[old.address], 64, &settings());
+    let front = Front::start_with(board, &text);
+    let mut client = front.client();
+    client.send("look", &fields(ID, "20000"), "").unwrap();
+    assert_eq!(client.answer().unwrap().1, rows("ok\n"));
+    way.set(|_, _| true, Way::Cut);
+    front.log.wait_for("notice board connection ended");
+    // More than it has descriptors for, and as many as it takes say something.
+    let mut idle: Vec<Client> = (0..100).map(|_| front.client()).collect();
+    idle.iter_mut().take(16).for_each(|client| _ = client.ping());
+    wait_for("all places to be taken", || {
+        front.signal("-USR1");
+        front.log.last("most_clients=")?.contains("most_clients=16").then_some(())
+    });
+    front.list(2, &[(2, new.address, 0)]);
+    way.set(|_, _| true, Way::Sound);
+    wait_for("what discovery told to be heard", || {
+        let mut client = front.client();
+        client.send("look", &fields(NEXT, "20000"), "").ok()?;
+        let _ = client.answer();
+        (!new.seen().started.is_empty()).then_some(())
+    });
+}
