--- a/front/src/batch.rs
+++ b/front/src/batch.rs
@@ -1,7 +1,7 @@
 //! A batch in hand: one coroutine each. It asks the facade where to go, has one dispatch after the other made,
 //! and reports each outcome, until the batch is over.
 
-use crate::engines::platform::{Trip, not_sent};
+use crate::engines::attempt::{Attempt, not_sent};
 use crate::state::State;
 use crate::task::{Ended, Final, Task};
 use larchfall::interface::{Answer, Next, Outcome, Place};
@@ -35,18 +35,19 @@
     loop {
         match place {
             Place::Send(to) => {
-                let trip = Trip::new(state, task, b, number, to);
+                let attempt = Attempt::new(state, task, b, number, to);
                 let Ended { outcome, report, mut seen, torn, unsettled } =
-                    trip.as_ref().map_or_else(|| not_sent(Outcome::Moot), Trip::make);
-                let took = trip.as_ref().map_or(Span::ZERO, |trip| state.clock.now().since(trip.sent));
-                if let Some(trip) = trip.as_ref().filter(|_| unsettled) {
+                    attempt.as_ref().map_or_else(|| not_sent(Outcome::Moot), Attempt::make);
+                let took =
+                    attempt.as_ref().map_or(Span::ZERO, |attempt| state.clock.now().since(attempt.sent));
+                if let Some(attempt) = attempt.as_ref().filter(|_| unsettled) {
                     // The answer is due, the end of what is out may come later.
                     answer(state, task, state.facade.give_up(b));
-                    seen = trip.settle();
+                    seen = attempt.settle();
                 }
                 state.counters.outcome(task.group, outcome);
-                if let Some(trip) = &trip {
-                    state.facade.saw(to.engine, trip.home, outcome);
+                if let Some(attempt) = &attempt {
+                    state.facade.saw(to.engine, attempt.home, outcome);
                 }
                 let returned = outcome == Outcome::Returned;
                 if returned {
--- a/front/src/board.rs
+++ b/front/src/board.rs
@@ -81,7 +81,7 @@
         input.resize(had + 4096, 0);
         let got = stream.read(&mut input[had..]);
         // What is read after a stall may be as old as that.
-        sent = state.heart.may_be_from(slept_since, state.clock.now());
+        sent = state.stalls.may_be_from(slept_since, state.clock.now());
         input.truncate(had + *got.as_ref().unwrap_or(&0));
         match got {
             Ok(0) => return "board-closed",
--- a/front/src/engines/platform.rs
+++ b/front/src/engines/attempt.rs
@@ -1,4 +1,4 @@
-//! One dispatch: from its seat and its one call to an engine to its outcome.
+//! One dispatch: from its permit and its one call to an engine to its outcome.
 
 use crate::engines::link::{Fault, Link, NoLink};
 use crate::state::State;
@@ -8,15 +8,13 @@
 use larchfall::interface::{Dispatch, Last, Note, Outcome, Place, Report, Seen};
 use larchfall::policy::account::proves_over;
 use larchfall::time::{At, Span};
-use slog::{info, warn};
+use slog::info;
 use std::cell::Cell;
 use std::sync::Arc;
 
 /// An engine answers a call for news after 250 ms at the latest; a connection that takes longer than this
 /// hangs, and another is opened: a result that is there waits meanwhile, and its engine looks slow.
-const NEWS_WITHIN: Span = Span::from_millis(350);
-/// Nothing is held back of a page.
-const PAGE_WITHIN: Span = Span::from_millis(300);
+pub(super) const NEWS_WITHIN: Span = Span::from_millis(350);
 /// An engine gives up what was not asked for in 2 s. A call that was cut off may be held back there for 250 ms,
 /// and ask all that time; the rest is for its own clock and the way there.
 const FORGOTTEN_AFTER: Span = Span::from_millis(2400);
@@ -24,20 +22,15 @@
 /// long that takes is said nowhere: the lists had engines drain for 5.9 to 7.4 s, and what was not seen to end
 /// may be at any of them (docs/incidents/mass-order.md).
 pub const RUNS_ON: Span = Span::from_millis(8000);
-/// While a reader has no room, the engine is asked this often.
-const ASK_WITHIN: Span = Span::from_millis(1000);
-const PAUSE: Span = Span::from_millis(20);
+pub(super) const PAUSE: Span = Span::from_millis(20);
 /// Whoever waits until this front has heard its sockets goes on in the same moment as those who were heard.
 const LOOK: Span = Span::from_millis(5);
 /// Connections that one call may be tried on, as long as not a byte of it left.
 const CONNECTIONS: usize = 2;
 /// A dispatch that finds all descriptors in use is better told so at once.
-const SEAT_WITHIN: Span = Span::from_millis(20);
+const PERMIT_WITHIN: Span = Span::from_millis(20);
 /// Giving up must not hold up an answer.
-const GIVE_UP_WITHIN: Span = Span::from_millis(100);
-/// Calls for one page before it counts as lost.
-const PAGE_TRIES: usize = 4;
-const MOST_PAGES: u32 = 64;
+pub(super) const GIVE_UP_WITHIN: Span = Span::from_millis(100);
 
 /// Of which nothing left.
 pub fn not_sent(outcome: Outcome) -> Ended {
@@ -46,32 +39,32 @@
 }
 
 /// What a look around between two calls found.
-enum Look {
+pub(super) enum Look {
     GoOn,
     CallOff,
     TimedOut,
 }
 
 /// One dispatch on its way.
-pub struct Trip<'a> {
-    state: &'a Arc<State>,
-    task: &'a Task,
-    b: usize,
-    number: u8,
+pub struct Attempt<'a> {
+    pub(super) state: &'a Arc<State>,
+    pub(super) task: &'a Task,
+    pub(super) b: usize,
+    pub(super) number: u8,
     to: Dispatch,
     pub home: Home,
     pub sent: At,
-    /// Whether this dispatch still has its seat.
-    seated: Cell<bool>,
+    /// Whether this dispatch still has its permit.
+    has_permit: Cell<bool>,
     /// What is left to tell the engine on, where its time ran out before its end was known.
     left: Cell<Option<Link>>,
     /// When the engine may last have been asked for it: the end of the last such call.
-    asked: Cell<At>,
+    pub(super) asked: Cell<At>,
     /// Whether the process at the other end of the present connection is known to have this dispatch.
-    same: Cell<bool>,
+    pub(super) same: Cell<bool>,
 }
 
-impl<'a> Trip<'a> {
+impl<'a> Attempt<'a> {
     /// `None` where the engine is no longer known.
     pub fn new(
         state: &'a Arc<State>,
@@ -79,25 +72,25 @@
         b: usize,
         number: u8,
         to: Dispatch,
-    ) -> Option<Trip<'a>> {
+    ) -> Option<Attempt<'a>> {
         let home = state.facade.home(to.engine)?;
-        let (sent, seated, left) = (state.clock.now(), Cell::new(false), Cell::new(None));
+        let (sent, has_permit, left) = (state.clock.now(), Cell::new(false), Cell::new(None));
         let (asked, same) = (Cell::new(sent), Cell::new(true));
-        Some(Trip { state, task, b, number, to, home, sent, seated, left, asked, same })
+        Some(Attempt { state, task, b, number, to, home, sent, has_permit, left, asked, same })
     }
 
     /// The time-out, or the end of this front when that comes first.
-    fn until(&self) -> At {
+    pub(super) fn until(&self) -> At {
         let until = self.sent + self.to.time_out;
         self.state.ends().map_or(until, |ends| until.min(ends))
     }
 
-    /// Without a seat nothing was sent, and that says nothing of the engine.
+    /// Without a permit nothing was sent, and that says nothing of the engine.
     pub fn make(&self) -> Ended {
-        if !self.state.pool.take_seat(self.to.priority, Some((&self.state.alarms, self.sent + SEAT_WITHIN))) {
+        if !self.state.pool.acquire(self.to.priority, Some((&self.state.alarms, self.sent + PERMIT_WITHIN))) {
             return not_sent(Outcome::Moot);
         }
-        self.seated.set(true);
+        self.has_permit.set(true);
         self.go()
     }
 
@@ -249,7 +242,7 @@
         }
     }
 
-    fn look(&self) -> Look {
+    pub(super) fn look(&self) -> Look {
         if self.state.facade.left(self.b) == Some(true) {
             return Look::CallOff;
         }
@@ -262,68 +255,8 @@
         }
     }
 
-    /// All pages of a result, in order; a page that is lost makes the dispatch errored, never a short answer.
-    fn collect(&self, mut link: Option<Link>, first: Reply) -> Ended {
-        // Whoever has the result has the batch.
-        self.same.set(true);
-        let report = first.report;
-        let pages = first.pages.unwrap_or(1);
-        if pages > MOST_PAGES {
-            warn!(self.state.log, "result of {} pages is passed over", pages);
-            return self.lose(link, Outcome::Errored, report);
-        }
-        link = self.keep(link, first.closes);
-        self.task.reader.rows(first.body);
-        for number in 1..pages {
-            if let Some(end) = self.wait_for_reader(&mut link, report) {
-                return end;
-            }
-            match self.page(&mut link, number) {
-                Some(page) => self.task.reader.rows(page),
-                None => {
-                    let late = self.state.clock.now() >= self.until();
-                    let outcome = if late { Outcome::TimedOut } else { Outcome::Errored };
-                    warn!(self.state.log, "page lost"; "id" => &self.task.id, "page" => number, "late" => late);
-                    return self.lose(link, outcome, report);
-                }
-            }
-        }
-        self.done(link);
-        // The whole result is the engine's word, on whichever connection its last page came.
-        self.same.set(true);
-        Ended { report, ..self.end(Last::Ended, Outcome::Returned) }
-    }
-
-    /// Fetches no more than the reader has room for. The engine is asked meanwhile, or it would forget the result.
-    fn wait_for_reader(&self, link: &mut Option<Link>, report: Report) -> Option<Ended> {
-        while !self.task.reader.has_room() {
-            self.state.sleep(PAUSE);
-            let outcome = match self.look() {
-                Look::GoOn => None,
-                Look::CallOff => Some(Outcome::CalledOff),
-                Look::TimedOut => Some(Outcome::TimedOut),
-            };
-            if let Some(outcome) = outcome {
-                return Some(self.lose(link.take(), outcome, report));
-            }
-            if self.state.clock.now().since(self.asked.get()) >= ASK_WITHIN {
-                if link.is_none() {
-                    *link = self.link(self.until()).ok();
-                }
-                if let Some(mut open) = link.take() {
-                    let ask = http::page(self.home.address, &self.task.id, 0);
-                    let reply = self.call(&mut open, &ask, NEWS_WITHIN);
-                    *link = reply.ok().and_then(|reply| self.keep(Some(open), reply.closes));
-                }
-                // What is not there any more shows when the next page is asked for.
-                self.asked.set(self.state.clock.now());
-            }
-        }
-        None
-    }
-
     /// An end with what was last seen of it. What does not prove that nothing runs leaves a line.
-    fn end(&self, last: Last, outcome: Outcome) -> Ended {
+    pub(super) fn end(&self, last: Last, outcome: Outcome) -> Ended {
         let seen = Seen { last, same: self.same.get() };
         if self.task.in_order && !proves_over(seen) {
             info!(self.state.log, "end not seen: {:?}", last; "id" => &self.task.id, "dispatch" => self.number,
@@ -332,44 +265,9 @@
         Ended { outcome, report: Report::default(), seen, torn: false, unsettled: false }
     }
 
-    /// The engine keeps what was not fetched, and counts the query as out until it is told. What its reader has
-    /// handed on already ends the batch.
-    fn lose(&self, link: Option<Link>, outcome: Outcome, report: Report) -> Ended {
-        let torn = !self.task.reader.begin_anew();
-        if self.task.in_order || self.state.one_at_a_time {
-            return Ended { report, torn, ..self.give_up(link, GIVE_UP_WITHIN, outcome) };
-        }
-        self.give_up_beside(link);
-        Ended { report, torn, ..self.end(Last::Silent, outcome) }
-    }
-
-    fn page(&self, link: &mut Option<Link>, number: u32) -> Option<Vec<u8>> {
-        let ask = http::page(self.home.address, &self.task.id, number);
-        for _ in 0..PAGE_TRIES {
-            if link.is_none() {
-                *link = self.link(self.until()).ok();
-            }
-            let Some(open) = link else { continue };
-            match self.call(open, &ask, PAGE_WITHIN) {
-                Ok(reply) if reply.status == 200 && reply.page == Some(number) => {
-                    *link = self.keep(link.take(), reply.closes);
-                    return Some(reply.body);
-                }
-                // The engine no longer has it.
-                Ok(reply) if reply.status == 500 => return None,
-                // Another answer than the one asked for: a second copy of one that came before.
-                _ => {
-                    drop(link.take());
-                    self.state.facade.note(self.b, self.number, Note::CutOff);
-                }
-            }
-        }
-        None
-    }
-
     /// Tells the engine to stop. A batch in key order stays out until that is known, or until the engine
     /// must have forgotten it: the next of its key may not start beside it.
-    fn give_up(&self, mut link: Option<Link>, within: Span, outcome: Outcome) -> Ended {
+    pub(super) fn give_up(&self, mut link: Option<Link>, within: Span, outcome: Outcome) -> Ended {
         let ask = http::give_up(self.home.address, &self.task.id);
         let began = self.state.clock.now();
         let called_off = outcome == Outcome::CalledOff;
@@ -404,11 +302,11 @@
         }
     }
 
-    /// Gives up on the seat of this dispatch, which has its outcome already.
-    fn give_up_beside(&self, link: Option<Link>) {
+    /// Gives up on the permit of this dispatch, which has its outcome already.
+    pub(super) fn give_up_beside(&self, link: Option<Link>) {
         let ask = http::give_up(self.home.address, &self.task.id);
         let (state, e, home) = (self.state.clone(), self.to.engine, self.home);
-        self.seated.set(false);
+        self.has_permit.set(false);
         may::go!(move || {
             let held = link.as_ref().is_some_and(Link::owes);
             let until = state.clock.now() + if held { NEWS_WITHIN } else { GIVE_UP_WITHIN };
@@ -417,11 +315,11 @@
             {
                 state.pool.keep(e, link, state.clock.now());
             }
-            state.pool.leave_seat();
+            state.pool.release();
         });
     }
 
-    fn call(&self, link: &mut Link, call: &[u8], within: Span) -> Result<Reply, Fault> {
+    pub(super) fn call(&self, link: &mut Link, call: &[u8], within: Span) -> Result<Reply, Fault> {
         let now = self.state.clock.now();
         let reply = link.call(call, &self.state.clock, self.until().min(now + within));
         self.asked.set(self.state.clock.now());
@@ -429,13 +327,13 @@
     }
 
     /// A connection of the pool, or a new one.
-    fn link(&self, until: At) -> Result<Link, NoLink> {
+    pub(super) fn link(&self, until: At) -> Result<Link, NoLink> {
         self.same.set(false);
         link(self.state, self.to.engine, self.home, until)
     }
 
     /// Gives back what is left of a connection.
-    fn done(&self, link: Option<Link>) {
+    pub(super) fn done(&self, link: Option<Link>) {
         if let Some(link) = link {
             self.state.pool.keep(self.to.engine, link, self.state.clock.now());
         }
@@ -443,21 +341,21 @@
 
     /// Lets go of a connection that the engine ends, or on which more came than was asked for: the next reply
     /// read from it would be another one's.
-    fn keep(&self, link: Option<Link>, closes: bool) -> Option<Link> {
+    pub(super) fn keep(&self, link: Option<Link>, closes: bool) -> Option<Link> {
         link.filter(|link| !closes && link.is_quiet())
     }
 }
 
-/// The seat goes with the dispatch.
-impl Drop for Trip<'_> {
+/// The permit goes with the dispatch.
+impl Drop for Attempt<'_> {
     fn drop(&mut self) {
-        if self.seated.get() {
-            self.state.pool.leave_seat();
+        if self.has_permit.get() {
+            self.state.pool.release();
         }
     }
 }
 
-/// An idle connection to an engine, or a new one; only for the seated.
+/// An idle connection to an engine, or a new one; only for who holds a permit.
 fn link(state: &State, e: usize, home: Home, until: At) -> Result<Link, NoLink> {
     while let Some((link, rested)) = state.pool.idle(e, home, state.clock.now()) {
         // A wait that is shorter than most answers; a new connection costs its engine work, and may not come up.
@@ -466,14 +364,14 @@
             return Ok(link);
         }
     }
-    let (seated, idle) = state.pool.open();
-    state.counters.rest(|c| c.most_links = c.most_links.max(seated + idle));
+    let (permits, idle) = state.pool.open();
+    state.counters.rest(|c| c.most_links = c.most_links.max(permits + idle));
     Link::open(home, state.clock.left(until.min(state.clock.now() + state.connect_within)))
 }
 
 /// Asks an engine for its load report; dispatches come first.
 pub fn probe(state: &State, e: usize) -> Option<Report> {
-    let home = state.facade.home(e).filter(|_| state.pool.take_seat(0, None))?;
+    let home = state.facade.home(e).filter(|_| state.pool.acquire(0, None))?;
     state.counters.rest(|c| c.probes += 1);
     let until = state.clock.now() + state.connect_within;
     let mut told = None;
@@ -486,6 +384,6 @@
         state.facade.probed(e, home, reply.report);
         told = Some(reply.report);
     }
-    state.pool.leave_seat();
+    state.pool.release();
     told
 }
--- a/front/src/fronts/duties.rs
+++ b/front/src/fronts/duties.rs
@@ -2,7 +2,7 @@
 
 use super::Fronts;
 use super::programs::Programs;
-use crate::engines::platform;
+use crate::engines::attempt;
 use crate::run::parts::{self, Parts, boot_time};
 use crate::state::{State, lock};
 use larchfall::interface::{ColdRule, Report, ServiceGroup};
@@ -75,7 +75,7 @@
 }
 
 pub struct Duty {
-    heart: Mutex<Duties>,
+    leases: Mutex<Duties>,
     me: Who,
     cluster: String,
     parts: Parts,
@@ -133,7 +133,7 @@
             Mutex::new(shares)
         });
         let cluster = settings.cluster.clone();
-        let heart =
+        let leases =
             Duties::new(me.clone(), settings, found.record.as_ref(), (parts.wall)().micros(), seed, now);
         let (records, keeper) = match disk {
             Some(disk) => {
@@ -143,7 +143,7 @@
             None => (None, None),
         };
         let duty = Duty {
-            heart: Mutex::new(heart),
+            leases: Mutex::new(leases),
             me,
             cluster,
             parts,
@@ -171,7 +171,7 @@
         let keeps = self.records.is_some();
         let bounds = Bounds { keeps, ..site.settings.bounds };
         let settings = Settings { bounds, ..site.settings };
-        let set = lock(&self.heart).set(settings, (self.parts.wall)().micros(), self.now());
+        let set = lock(&self.leases).set(settings, (self.parts.wall)().micros(), self.now());
         match set {
             Ok(out) => {
                 self.programs.set(site.programs);
@@ -185,7 +185,7 @@
     pub fn due_in(&self) -> Span {
         let now = self.now();
         let shares = self.shares.as_ref().map_or(IDLE, |shares| lock(shares).due().since(now));
-        let due = lock(&self.heart).due().since(now).min(shares);
+        let due = lock(&self.leases).due().since(now).min(shares);
         // Programs end by themselves, and what was just held is to be acted on: both are looked for in between.
         let looks = (*lock(&self.woke) + SOON).since(now);
         if self.soon.load(Ordering::Relaxed) || self.programs.any_runs() { due.min(looks) } else { due }
@@ -193,17 +193,17 @@
 
     /// Hands all on.
     pub fn leave(&self, state: &State, fronts: &Fronts) {
-        let out = lock(&self.heart).leave(self.now());
+        let out = lock(&self.leases).leave(self.now());
         self.take(state, fronts, out);
     }
 
     /// Nothing is held any more, nor runs.
     pub fn is_done(&self) -> bool {
-        !self.programs.any_runs() && !lock(&self.heart).holds_any()
+        !self.programs.any_runs() && !lock(&self.leases).holds_any()
     }
 
     pub fn name_taken(&self, state: &State, fronts: &Fronts) {
-        let out = lock(&self.heart).name_taken(self.now());
+        let out = lock(&self.leases).name_taken(self.now());
         self.take(state, fronts, out);
     }
 
@@ -222,10 +222,10 @@
         let lines = *lock(&self.lines);
         let fit = lock(&self.fitness).is_fit(lines, sight);
         let out = {
-            let mut heart = lock(&self.heart);
-            heart.live(live);
-            heart.fit(fit);
-            heart.wake(now)
+            let mut leases = lock(&self.leases);
+            leases.live(live);
+            leases.fit(fit);
+            leases.wake(now)
         };
         self.take(state, fronts, out);
         self.look_after_programs(state, fronts);
@@ -247,7 +247,7 @@
         self.use_shares(state, shares, now);
         for Asking { keeper: number, round, wants } in asking {
             let name = keeper(number);
-            let holder = lock(&self.heart).holder(&name, now).map(str::to_owned);
+            let holder = lock(&self.leases).holder(&name, now).map(str::to_owned);
             let Some(holder) = holder else { continue };
             for wants in pages(wants, READINGS) {
                 let (fronts_most, length_us) = (most as u32, length.micros());
@@ -273,14 +273,14 @@
         match matter {
             Matter::AskShares { duty, round, fronts: most, length_us, wants } => {
                 // Immediately before: nothing is handed out that the next keeper may not know to be over in time.
-                let heart = lock(&self.heart);
-                let Some(permit) = heart.permit(duty, now) else { return };
+                let leases = lock(&self.leases);
+                let Some(permit) = leases.permit(duty, now) else { return };
                 let parts = {
                     let terms = (*most as usize, Span::from_micros(*length_us));
                     lock(shares).answer(permit.token, (&from.name, terms), wants, now)
                 };
                 let stamped = permit.stamp(parts);
-                drop(heart);
+                drop(leases);
                 for page in pages(stamped.action, READINGS) {
                     let parts = Stamped { duty: stamped.duty.clone(), token: stamped.token, action: page };
                     let matter = Matter::Shares { round: *round, parts };
@@ -303,13 +303,13 @@
     fn look_after_programs(&self, state: &State, fronts: &Fronts) {
         for ended in self.programs.take_ended(self.now()) {
             info!(state.log, "duties: program of {} ended", ended.duty; "token" => ended.token, "how" => ended.how);
-            let out = lock(&self.heart).stopped(&ended.duty, self.now());
+            let out = lock(&self.leases).stopped(&ended.duty, self.now());
             self.take(state, fronts, out);
         }
         for duty in self.programs.duties() {
             // Looked at immediately before: what is left is what the minder is told.
             let (now, boot) = (self.now(), boot_time());
-            let held = lock(&self.heart).permit(&duty, now).map(|permit| (permit.token, permit.left(now)));
+            let held = lock(&self.leases).permit(&duty, now).map(|permit| (permit.token, permit.left(now)));
             if let Some((token, left)) = held {
                 self.programs.may_run(&duty, token, boot + left, now);
             }
@@ -329,15 +329,15 @@
             let left = Arc::new(AtomicUsize::new(ours.len()));
             for (e, id) in ours {
                 let name = duty(number);
-                let heart = lock(&self.heart);
-                let Some(allowed) = heart.permit(&name, self.now()).map(|p| p.allow(Probe { engine: e }))
+                let leases = lock(&self.leases);
+                let Some(allowed) = leases.permit(&name, self.now()).map(|p| p.allow(Probe { engine: e }))
                 else {
                     break;
                 };
-                drop(heart);
+                drop(leases);
                 let (state, fronts, left) = (state.clone(), fronts.clone(), left.clone());
                 may::go!(move || {
-                    let report = platform::probe(&state, allowed.action().engine);
+                    let report = attempt::probe(&state, allowed.action().engine);
                     if let (Some(report), Some(probing)) = (report, &state.probing) {
                         lock(probing).read(reading(id, report), state.clock.now());
                     }
@@ -358,7 +358,7 @@
         let name = duty(number);
         let stamp = |permit: Permit, page| permit.stamp(page);
         for page in pages(read, READINGS) {
-            let stamped = lock(&self.heart).permit(&name, self.now()).map(|permit| stamp(permit, page));
+            let stamped = lock(&self.leases).permit(&name, self.now()).map(|permit| stamp(permit, page));
             let Some(stamped) = stamped else { return };
             let others: Vec<String> = {
                 let members = lock(&fronts.members);
@@ -397,7 +397,7 @@
                         "to" => to.unwrap_or_default());
                     self.programs.end(&duty);
                     if !self.programs.runs(&duty) {
-                        let out = lock(&self.heart).stopped(&duty, self.now());
+                        let out = lock(&self.leases).stopped(&duty, self.now());
                         self.take(state, fronts, out);
                     }
                 }
@@ -438,7 +438,7 @@
             }
             _ => {}
         }
-        let out = lock(&self.heart).hear(&letter.from, &letter.matter, self.now());
+        let out = lock(&self.leases).hear(&letter.from, &letter.matter, self.now());
         self.take(state, fronts, out);
     }
 
@@ -468,14 +468,14 @@
             one(&self.counters.records_failed);
             warn!(state.log, "duties: record not kept: {}", e);
         }
-        let out = lock(&self.heart).written(kept.is_ok(), self.now());
+        let out = lock(&self.leases).written(kept.is_ok(), self.now());
         self.take(state, fronts, out);
     }
 
     /// By duty: its name, who holds it, its token, what is left in milliseconds, why and when it last ended here.
     pub fn rows(&self) -> Vec<Vec<String>> {
         let now = self.now();
-        let heart = lock(&self.heart);
+        let leases = lock(&self.leases);
         let row = |view: View| {
             let told = |k: &larchfall_duty::duties::Known| (k.holder.name.clone(), k.token, k.until);
             let here = view.held.map(|(token, until)| (self.me.name.clone(), token, until));
@@ -488,7 +488,7 @@
                 .map_or(String::new(), |(why, at)| format!("{why:?} {:.1} s ago", now.since(at).secs()));
             vec![view.duty.to_owned(), holder, token.to_string(), left.to_string(), last]
         };
-        heart.view(now).map(row).collect()
+        leases.view(now).map(row).collect()
     }
 
     /// What a capacity is called in the log and by `larchfall shares`.
--- a/front/src/doors/rest.rs
+++ b/front/src/protocols/rest.rs
@@ -40,8 +40,8 @@
 const STATEMENT: &str = "/v1/statement";
 const JSON: &str = "application/json";
 
-/// All that the door keeps beside its connections.
-pub struct Door {
+/// All that the service keeps beside its connections.
+pub struct RestService {
     site: Mutex<Arc<Rest>>,
     /// As at the start: what is open keeps its bounds.
     connections: usize,
@@ -51,15 +51,15 @@
     clients: AtomicUsize,
 }
 
-impl Door {
+impl RestService {
     /// The key is drawn from the machine's chance: whoever knows this front's seed must not know its addresses.
-    pub fn new(site: Rest, seed: u64) -> Result<Door, getrandom::Error> {
+    pub fn new(site: Rest, seed: u64) -> Result<RestService, getrandom::Error> {
         let mut secret = [0; 32];
         getrandom::fill(&mut secret)?;
         let (pages, ids) = (Pages::new(site.caps), Mutex::new(WyRand::new_seed(!seed)));
         let (connections, clients) = (site.connections, AtomicUsize::new(0));
         let site = Mutex::new(Arc::new(site));
-        Ok(Door { site, connections, pages, key: Key::new(&secret), ids, clients })
+        Ok(RestService { site, connections, pages, key: Key::new(&secret), ids, clients })
     }
 
     fn site(&self) -> Arc<Rest> {
@@ -76,18 +76,18 @@
     }
 }
 
-/// Takes connections in while the door's share of them lasts.
-pub fn accept(state: &Arc<State>, listener: &TcpListener, door: &Arc<Door>) {
+/// Takes connections in while the service's share of them lasts.
+pub fn accept(state: &Arc<State>, listener: &TcpListener, service: &Arc<RestService>) {
     loop {
-        if door.clients() >= door.connections || state.heart.starves_others(state.clock.now()) {
+        if service.clients() >= service.connections || state.stalls.starves_events(state.clock.now()) {
             state.sleep(PAUSE);
             continue;
         }
         match listener.accept() {
             Ok((stream, from)) => {
-                door.clients.fetch_add(1, Ordering::Relaxed);
-                let (state, door) = (state.clone(), door.clone());
-                may::go!(move || serve(&state, &door, stream, from));
+                service.clients.fetch_add(1, Ordering::Relaxed);
+                let (state, service) = (state.clone(), service.clone());
+                may::go!(move || serve(&state, &service, stream, from));
                 may::coroutine::yield_now();
             }
             Err(e) => {
@@ -99,7 +99,7 @@
 }
 
 /// Counts a connection out, whatever ends it.
-struct Counted<'a>(&'a Door);
+struct Counted<'a>(&'a RestService);
 
 impl Drop for Counted<'_> {
     fn drop(&mut self) {
@@ -107,25 +107,25 @@
     }
 }
 
-fn serve(state: &Arc<State>, door: &Arc<Door>, mut stream: TcpStream, from: SocketAddr) {
-    let _place = Counted(door);
+fn serve(state: &Arc<State>, service: &Arc<RestService>, mut stream: TcpStream, from: SocketAddr) {
+    let _place = Counted(service);
     let _ = stream.set_nodelay(true);
-    let reason = converse(state, door, &mut stream);
+    let reason = converse(state, service, &mut stream);
     drop(stream);
     info!(state.log, "rest connection ended";
         "from" => from.to_string(), "reason" => reason.code(), "detail" => reason.detail());
 }
 
-fn converse(state: &Arc<State>, door: &Arc<Door>, stream: &mut TcpStream) -> Reason {
+fn converse(state: &Arc<State>, service: &Arc<RestService>, stream: &mut TcpStream) -> Reason {
     let mut input = Vec::new();
     // When what is awaited must be whole, and whether its client was told to go on.
     let (mut until, mut told) = (state.clock.now() + WHOLE_WITHIN, false);
     loop {
-        match call::read(&input, door.site().statement) {
+        match call::read(&input, service.site().statement) {
             Ok(Got::Call(call, used)) => {
                 input.drain(..used);
                 let closes = call.closes || state.is_done();
-                let bytes = handle(state, door, &call).bytes(closes, call.verb);
+                let bytes = handle(state, service, &call).bytes(closes, call.verb);
                 if let Err(reason) = write(stream, &bytes) {
                     return reason;
                 }
@@ -178,7 +178,7 @@
 /// While any coroutine is ready the worker looks for no events: a client that never pauses would keep all others from
 /// being heard.
 fn let_others(state: &State) {
-    while state.heart.starves_others(state.clock.now()) {
+    while state.stalls.starves_events(state.clock.now()) {
         state.sleep(PAUSE);
     }
 }
@@ -226,10 +226,10 @@
     }
 }
 
-fn handle(state: &Arc<State>, door: &Arc<Door>, call: &Call) -> Answer {
+fn handle(state: &Arc<State>, service: &Arc<RestService>, call: &Call) -> Answer {
     let unknown = || Answer::fault(404, Fault::unusable("no such page"));
     match (call.verb, call.path.as_str()) {
-        (Verb::Post, STATEMENT) => begin(state, door, call),
+        (Verb::Post, STATEMENT) => begin(state, service, call),
         (_, STATEMENT) => {
             let fields = vec![("Allow", "POST".to_owned())];
             Answer { fields, ..Answer::fault(405, Fault::unusable("statements are posted")) }
@@ -238,13 +238,13 @@
             let body = br#"{"nodeVersion":{"version":"larchfall"},"coordinator":true,"starting":false}"#;
             Answer { body: body.to_vec(), ..Answer::bare(200) }
         }
-        (Verb::Get | Verb::Head, path) => match door.key.read(path) {
-            Some(place) => page(state, door, call, place),
+        (Verb::Get | Verb::Head, path) => match service.key.read(path) {
+            Some(place) => page(state, service, call, place),
             None => unknown(),
         },
-        (Verb::Delete, path) => match door.key.read(path) {
+        (Verb::Delete, path) => match service.key.read(path) {
             Some(place) => {
-                if let Some(left) = door.pages.leave(place.name) {
+                if let Some(left) = service.pages.leave(place.name) {
                     give_up(state, left.batch);
                 }
                 Answer::bare(204)
@@ -264,7 +264,7 @@
 }
 
 /// A statement: its first page, if that comes soon.
-fn begin(state: &Arc<State>, door: &Arc<Door>, call: &Call) -> Answer {
+fn begin(state: &Arc<State>, service: &Arc<RestService>, call: &Call) -> Answer {
     let now = state.clock.now();
     if state.ends().is_some() {
         let seconds = (ENDS.micros() / 1_000_000).max(1).to_string();
@@ -278,32 +278,32 @@
     if call.body.is_empty() {
         return unusable("no statement".into());
     }
-    let site = door.site();
+    let site = service.site();
     let worded = match words::read(call, site.headers, &site.batch) {
         Ok(worded) => worded,
         Err(why) => return unusable(why),
     };
     let (number, id) = {
-        let number: u64 = lock(&door.ids).generate();
+        let number: u64 = lock(&service.ids).generate();
         (number, format!("{number:016x}"))
     };
     let request = match request_of(&worded, number, &id, &call.body) {
         Ok(request) => request,
         Err(why) => return unusable(why.to_owned()),
     };
-    let Some(name) = door.pages.begin(now) else {
+    let Some(name) = service.pages.begin(now) else {
         state.counters.rest(|c| c.over_limits += 1);
         return Answer::pushed_back(state.come_back);
     };
     let taken = intake::take(state, &request, now, |b| {
-        door.pages.is_made_by(name, b);
-        let (state, door, pending) = (state.clone(), door.clone(), Mutex::new(None));
-        Arc::new(Paged { state, door, name, began: now, pending })
+        service.pages.is_made_by(name, b);
+        let (state, service, pending) = (state.clone(), service.clone(), Mutex::new(None));
+        Arc::new(Paged { state, service, name, began: now, pending })
     });
     match taken {
         Ok(()) => {}
         Err(refused) => {
-            door.pages.leave(name);
+            service.pages.leave(name);
             return match refused {
                 Refused::Unusable(why) => Answer::fault(400, Fault::unusable(part_of(why))),
                 Refused::NoRoom => Answer::pushed_back(state.come_back),
@@ -311,19 +311,19 @@
         }
     }
     let place = Place { name, token: 0 };
-    match found(state, door, place, now) {
+    match found(state, service, place, now) {
         // No address was given out yet, so that clients which come again do so with the statement.
         Found::Page(Page { end: Some(End::PushedBack), body, .. }, settled) => {
             settle(state, settled);
-            door.pages.leave(name);
+            service.pages.leave(name);
             let after = body.fault.and_then(|f| f.retry_after_millis).map(Span::from_millis);
             Answer::pushed_back(after)
         }
-        found => answer(state, door, call, place, found),
+        found => answer(state, service, call, place, found),
     }
 }
 
-/// The door's words for what the other protocol names by its fields.
+/// The service's words for what the other protocol names by its fields.
 fn part_of(why: &'static str) -> &'static str {
     match why {
         "opkey is missing" => "reference is missing",
@@ -361,14 +361,14 @@
     })
 }
 
-fn page(state: &Arc<State>, door: &Arc<Door>, call: &Call, place: Place) -> Answer {
-    let found = found(state, door, place, state.clock.now());
-    answer(state, door, call, place, found)
+fn page(state: &Arc<State>, service: &Arc<RestService>, call: &Call, place: Place) -> Answer {
+    let found = found(state, service, place, state.clock.now());
+    answer(state, service, call, place, found)
 }
 
-fn found(state: &State, door: &Door, place: Place, began: At) -> Found {
+fn found(state: &State, service: &RestService, place: Place, began: At) -> Found {
     let empty = || Body { elapsed_ms: state.clock.now().since(began).micros() / 1000, ..Body::default() };
-    door.pages.ask(place, (&state.clock, &state.alarms), door.site().poll, empty)
+    service.pages.ask(place, (&state.clock, &state.alarms), service.site().poll, empty)
 }
 
 fn settle(state: &State, settled: Option<Settled>) {
@@ -377,14 +377,14 @@
     }
 }
 
-fn answer(state: &State, door: &Door, call: &Call, place: Place, found: Found) -> Answer {
+fn answer(state: &State, service: &RestService, call: &Call, place: Place, found: Found) -> Answer {
     let (page, settled) = match found {
         Found::Page(page, settled) => (page, settled),
         // Its address is one of ours, so it was there once.
         Found::Gone | Found::Unknown => return Answer::fault(410, Fault::unusable("this page is gone")),
     };
     settle(state, settled);
-    let site = door.site();
+    let site = service.site();
     let base = match (&site.base, call.field("host")) {
         (Some(base), _) => base.clone(),
         (None, Some(host)) => format!("http://{host}"),
@@ -393,7 +393,7 @@
     let id = slug::id(place.name);
     let next = page.end.is_none().then(|| {
         let next = Place { token: page.token + 1, ..place };
-        format!("{base}{}", door.key.path(next))
+        format!("{base}{}", service.key.path(next))
     });
     let to = Addresses { id: &id, info: format!("{base}/ui/query.html?{id}"), next };
     Answer { body: document::json(&page.body, page.end, to), ..Answer::bare(200) }
@@ -402,7 +402,7 @@
 /// The reader of one result: the last rows are held back until it is known whether they are the last.
 struct Paged {
     state: Arc<State>,
-    door: Arc<Door>,
+    service: Arc<RestService>,
     name: Name,
     began: At,
     pending: Mutex<Option<Vec<u8>>>,
@@ -417,18 +417,18 @@
 
 impl Reader for Paged {
     fn has_room(&self) -> bool {
-        self.door.pages.has_room(self.name)
+        self.service.pages.has_room(self.name)
     }
 
     fn rows(&self, rows: Vec<u8>) {
         if let Some(before) = lock(&self.pending).replace(rows) {
-            self.door.pages.push(self.name, self.body(before, None), None);
+            self.service.pages.push(self.name, self.body(before, None), None);
         }
     }
 
     fn begin_anew(&self) -> bool {
         *lock(&self.pending) = None;
-        self.door.pages.begin_anew(self.name)
+        self.service.pages.begin_anew(self.name)
     }
 
     fn end(&self, end: Final) -> bool {
@@ -440,6 +440,6 @@
             }
             Final::Errored(why) => (Vec::new(), Some(Fault::errored(why)), End::Errored),
         };
-        self.door.pages.push(self.name, self.body(rows, fault), Some(end))
+        self.service.pages.push(self.name, self.body(rows, fault), Some(end))
     }
 }
--- a/front/src/doors/rpc.rs
+++ b/front/src/protocols/rpc.rs
@@ -167,7 +167,7 @@
             Err(reason) => return reason,
         };
         if read > 0 {
-            let now = state.heart.may_be_from(slept_since, state.clock.now());
+            let now = state.stalls.may_be_from(slept_since, state.clock.now());
             inbox.came(queued_since.take().map_or(now, |queued| queued.min(now)), anew);
         }
         let takes = !too_slow && (read > 0 || inbox.more);
@@ -186,7 +186,7 @@
             }
             // While any coroutine is ready the worker looks for no events: those that always have something to say
             // would keep all others from being heard.
-            while rounds >= BURST || state.heart.starves_others(state.clock.now()) {
+            while rounds >= BURST || state.stalls.starves_events(state.clock.now()) {
                 rounds = 0;
                 state.sleep(PAUSE);
             }
--- a/front/src/run/reload.rs
+++ b/front/src/run/reload.rs
@@ -3,8 +3,8 @@
 
 use super::config::{self, Config};
 use crate::board;
-use crate::doors::rest::Door;
 use crate::fronts::Fronts;
+use crate::protocols::rest::RestService;
 use crate::state::State;
 use larchfall::time::Span;
 use larchfall_site::Site;
@@ -38,7 +38,7 @@
     state: &Arc<State>,
     mut asked: CoIo<UnixStream>,
     files: &Files,
-    (door, fronts): (Option<&Arc<Door>>, Option<&Fronts>),
+    (service, fronts): (Option<&Arc<RestService>>, Option<&Fronts>),
     seed: u64,
 ) {
     let mut byte = [0];
@@ -46,8 +46,8 @@
         // Both files or neither: each is checked against the other.
         if let Some(Read { config, site }) = read(state, files) {
             let Site { rest, fronts: site, duties, .. } = *site;
-            if let Some((door, rest)) = door.zip(rest) {
-                door.reload(rest);
+            if let Some((service, rest)) = service.zip(rest) {
+                service.reload(rest);
             }
             if let Some((fronts, site)) = fronts.zip(site) {
                 fronts.set(state, site.settings, duties);
--- a/front/src/run/serve.rs
+++ b/front/src/run/serve.rs
@@ -3,20 +3,20 @@
 use super::config::Config;
 use super::parts::Parts;
 use super::{log, reload, stop};
-use crate::doors::rest::{self, Door};
-use crate::doors::rpc;
-use crate::engines::platform::RUNS_ON;
+use crate::engines::attempt::RUNS_ON;
 use crate::fronts::duties::{Duty, Keeper, Shared};
 use crate::fronts::signals::Signals;
 use crate::fronts::{self, Fronts};
+use crate::protocols::rest::{self, RestService};
+use crate::protocols::rpc;
 use crate::state::State;
 use crate::state::alarms::Alarms;
 use crate::state::clock::Clock;
 use crate::state::counters::Counters;
 use crate::state::facade::Facade;
-use crate::state::heart::Heart;
 use crate::state::peer::Peers;
 use crate::state::pool::Pool;
+use crate::state::stalls::Stalls;
 use crate::subset::{self, Subset};
 use crate::{board, timer};
 use larchfall::interface::{Caps, Effect, Given};
@@ -75,9 +75,9 @@
     let Site { rest, fronts, duties, subsets, signals: told } = site;
     let rest = match rest {
         Some(site) => {
-            let door = Door::new(site.clone(), config.seed)
+            let service = RestService::new(site.clone(), config.seed)
                 .map_err(|e| (1, format!("no chance to be had for addresses: {e}")))?;
-            Some((Arc::new(door), listen(site.listen)?, site))
+            Some((Arc::new(service), listen(site.listen)?, site))
         }
         None => None,
     };
@@ -127,10 +127,10 @@
     if let (Some(keeper), Some(fronts)) = (keeper, &fronts) {
         keeper.run(&state, fronts).map_err(|e| (1, format!("the thread that keeps records: {e}")))?;
     }
-    let (timed, door) = (state.clone(), rest.as_ref().map(|(door, ..)| door.clone()));
+    let (timed, service) = (state.clone(), rest.as_ref().map(|(service, ..)| service.clone()));
     let timer = std::thread::Builder::new().name("timer".to_owned());
     timer
-        .spawn(move || timer::run(&timed, door.as_ref()))
+        .spawn(move || timer::run(&timed, service.as_ref()))
         .map_err(|e| (1, format!("the timer's thread: {e}")))?;
     let main = {
         let state = state.clone();
@@ -143,28 +143,28 @@
                 subset::start(&state, fronts.clone(), subset);
             }
             let (s2, s3) = (state.clone(), state.clone());
-            let door = rest.as_ref().map(|(door, ..)| door.clone());
+            let service = rest.as_ref().map(|(service, ..)| service.clone());
             let era = s2.next_board();
             may::go!(move || board::follow(&s2, board_address, seed, era));
             if let Some(asked) = signals.reload.take() {
-                let (state, door, fronts) = (state.clone(), door.clone(), fronts.clone());
+                let (state, service, fronts) = (state.clone(), service.clone(), fronts.clone());
                 let files = reload::Files { config: file, site: site_file };
                 may::go!(move || reload::on_signal(
                     &state,
                     asked,
                     &files,
-                    (door.as_ref(), fronts.as_deref()),
+                    (service.as_ref(), fronts.as_deref()),
                     seed
                 ));
             }
             let looker = state.clone();
             may::go!(move || timer::look_for_events(&looker, looks));
             may::go!(move || accept(&s3, &listener));
-            if let Some((door, listener, _)) = rest {
+            if let Some((service, listener, _)) = rest {
                 let state = state.clone();
-                may::go!(move || rest::accept(&state, &listener, &door));
+                may::go!(move || rest::accept(&state, &listener, &service));
             }
-            stop::until_ended(&state, signals, door.as_ref(), fronts);
+            stop::until_ended(&state, signals, service.as_ref(), fronts);
         })
     };
     let ended = main.join();
@@ -238,7 +238,7 @@
         alarms,
         peers: Peers::new(limits.unread),
         pool: Pool::new(limits.engine_links, s.idle_close),
-        heart: Heart::start(clock.now()),
+        stalls: Stalls::start(clock.now()),
         limits,
         log,
         ends: Mutex::new(None),
@@ -262,7 +262,7 @@
         if state.peers.len() + spare >= most {
             state.peers.make_room(spare, called - FRESH);
         }
-        if state.peers.len() >= most || state.heart.starves_others(called) {
+        if state.peers.len() >= most || state.stalls.starves_events(called) {
             state.sleep(PAUSE);
             held_up = Some((held_up.map_or(called, |(since, _)| since), state.clock.now()));
             continue;
--- a/front/src/run/stop.rs
+++ b/front/src/run/stop.rs
@@ -1,8 +1,8 @@
 //! Signals, and the end: a front that was told to stop goes on serving for as long as clients may still come,
 //! answers what it holds, and ends before it can be killed.
 
-use crate::doors::rest::Door;
 use crate::fronts::Fronts;
+use crate::protocols::rest::RestService;
 use crate::state::State;
 use larchfall::time::Span;
 use may::io::CoIo;
@@ -64,7 +64,7 @@
 pub fn until_ended(
     state: &Arc<State>,
     signals: Signals,
-    door: Option<&Arc<Door>>,
+    service: Option<&Arc<RestService>>,
     fronts: Option<Arc<Fronts>>,
 ) {
     let Signals { mut term, mut ask, .. } = signals;
@@ -92,9 +92,9 @@
         state.sleep(LOOK);
         let now = state.clock.now();
         // Half-read results go on until then.
-        let read = door.is_none_or(|door| door.pages.unread() == 0);
+        let read = service.is_none_or(|service| service.pages.unread() == 0);
         // A front that stood still has come here before it heard its sockets: what clients wrote meanwhile is unread.
-        let heard = state.heart.looked_since(told + CLIENTS_COME);
+        let heard = state.stalls.looked_since(told + CLIENTS_COME);
         if (!is_owed(state) && read && heard) || now >= killed {
             break;
         }
@@ -104,7 +104,7 @@
     state.done.store(true, Ordering::Relaxed);
     state.peers.wake_quiet(state.clock.now(), state.clock.now());
     let until = state.clock.now() + LAST_LINES;
-    let open = || state.peers.len() + door.map_or(0, |door| door.clients());
+    let open = || state.peers.len() + service.map_or(0, |service| service.clients());
     // What was read between the last look and here was taken, and gets its answer as all else did.
     let goes_on = |now| (is_owed(state) && now < killed) || (open() > 0 && now < until);
     while goes_on(state.clock.now()) {
--- a/front/src/state/mod.rs
+++ b/front/src/state/mod.rs
@@ -6,18 +6,17 @@
 pub mod due;
 pub mod engines;
 pub mod facade;
-pub mod heart;
 pub mod limits;
 pub mod pages;
 pub mod peer;
+pub mod permits;
 pub mod pool;
-pub mod seats;
+pub mod stalls;
 
 use alarms::Alarms;
 use clock::Clock;
 use counters::Counters;
 use facade::Facade;
-use heart::Heart;
 use larchfall::time::{At, Span};
 use larchfall_duty::probing::Probing;
 use larchfall_settings::Names;
@@ -25,6 +24,7 @@
 use peer::Peers;
 use pool::Pool;
 use slog::{Logger, info};
+use stalls::Stalls;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -49,7 +49,7 @@
     /// Answers that wait unread for so long have no reader.
     pub answers_kept: Span,
     pub limits: Limits,
-    pub heart: Heart,
+    pub stalls: Stalls,
     pub alarms: Arc<Alarms>,
     pub facade: Facade,
     pub peers: Peers,
@@ -83,12 +83,12 @@
     /// Whether this front stood still for long and has not heard since what the board told meanwhile.
     pub fn is_deaf(&self) -> bool {
         let heard = At::from_micros(self.board_heard.load(Ordering::Relaxed));
-        self.heart.deaf_for(self.clock.now(), heard) > Span::ZERO
+        self.stalls.deaf_for(self.clock.now(), heard) > Span::ZERO
     }
 
     /// Whether what clients, engines and the board said a while ago may still be unread.
     pub fn hears_nothing(&self) -> bool {
-        self.is_deaf() || self.heart.starves_others(self.clock.now())
+        self.is_deaf() || self.stalls.starves_events(self.clock.now())
     }
 
     pub fn is_done(&self) -> bool {
--- a/front/src/state/seats.rs
+++ b/front/src/state/permits.rs
@@ -1,5 +1,5 @@
-//! Seats: how many dispatches may be out at a time. Whoever waits for one is let in by the priority that the
-//! module gave, then in turn: while seats are short, they are where batches meet first, and a plain queue would
+//! Permits: how many dispatches may be out at a time. Whoever waits for one is let in by the priority that the
+//! module gave, then in turn: while permits are short, they are where batches meet first, and a plain queue would
 //! let the many short ones keep the few of a higher rank out.
 
 use super::alarms::Alarms;
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
-pub struct Seats {
+pub struct Permits {
     inner: Mutex<Inner>,
 }
 
@@ -21,12 +21,12 @@
     came: u64,
 }
 
-impl Seats {
-    pub fn new(free: usize) -> Seats {
-        Seats { inner: Mutex::new(Inner { free, waiting: BTreeMap::new(), came: 0 }) }
+impl Permits {
+    pub fn new(free: usize) -> Permits {
+        Permits { inner: Mutex::new(Inner { free, waiting: BTreeMap::new(), came: 0 }) }
     }
 
-    /// Takes a seat, or waits for one until then; false when none came free in time.
+    /// Takes a permit, or waits for one until then; false when none came free in time.
     pub fn take(&self, priority: u8, wait: Option<(&Alarms, At)>) -> bool {
         let blocker = Blocker::current();
         let place = {
@@ -44,7 +44,7 @@
             place
         };
         wait.into_iter().for_each(|(alarms, until)| alarms.park(&blocker, until));
-        // Who is no longer waiting was given a seat, be it at the last moment.
+        // Who is no longer waiting was given a permit, be it at the last moment.
         lock(&self.inner).waiting.remove(&place).is_none()
     }
 
@@ -52,7 +52,7 @@
         lock(&self.inner).waiting.len()
     }
 
-    /// Leaves a seat to the first of those who wait.
+    /// Leaves a permit to the first of those who wait.
     pub fn leave(&self) {
         let mut inner = lock(&self.inner);
         match inner.waiting.pop_first() {
--- a/front/src/state/pool.rs
+++ b/front/src/state/pool.rs
@@ -4,13 +4,13 @@
 use super::alarms::Alarms;
 use super::engines::Home;
 use super::lock;
-use super::seats::Seats;
+use super::permits::Permits;
 use crate::engines::link::Link;
 use larchfall::time::{At, Span};
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 
-/// One in so many connections is left to idle ones when all seats are taken: without any, each dispatch would
+/// One in so many connections is left to idle ones when all permits are taken: without any, each dispatch would
 /// open a connection of its own.
 const SPARE: usize = 8;
 /// The part of the time until engines close it that an idle connection is kept.
@@ -20,7 +20,7 @@
 pub const RESTS: Span = Span::from_millis(25);
 
 pub struct Pool {
-    seats: Seats,
+    permits: Permits,
     idle: Mutex<Idle>,
     most: usize,
     keep: Span,
@@ -30,7 +30,7 @@
 struct Idle {
     by_engine: BTreeMap<usize, Vec<(At, Link)>>,
     count: usize,
-    seated: usize,
+    held: usize,
 }
 
 impl Idle {
@@ -56,31 +56,31 @@
     /// Engines close what was idle for `idle_close`. Here it is let go a tenth of that earlier, so that none is written
     /// to as it closes, and no sooner: each new connection costs its engine work and its batch a way there and back.
     pub fn new(most: usize, idle_close: Span) -> Pool {
-        let seats = Seats::new((most - most / SPARE).max(1));
-        Pool { seats, idle: Mutex::default(), most, keep: Pool::kept(idle_close) }
+        let permits = Permits::new((most - most / SPARE).max(1));
+        Pool { permits, idle: Mutex::default(), most, keep: Pool::kept(idle_close) }
     }
 
     pub fn kept(idle_close: Span) -> Span {
         idle_close * KEEP
     }
 
-    /// A seat is the right to one connection at a time. It is taken for a whole dispatch, so that what was
+    /// A permit is the right to one connection at a time. It is taken for a whole dispatch, so that what was
     /// sent can always be asked for and given up; false when none came free in time.
-    pub fn take_seat(&self, priority: u8, wait: Option<(&Alarms, At)>) -> bool {
-        let seated = self.seats.take(priority, wait);
-        if seated {
-            lock(&self.idle).seated += 1;
+    pub fn acquire(&self, priority: u8, wait: Option<(&Alarms, At)>) -> bool {
+        let held = self.permits.take(priority, wait);
+        if held {
+            lock(&self.idle).held += 1;
         }
-        seated
+        held
     }
 
-    pub fn leave_seat(&self) {
-        lock(&self.idle).seated -= 1;
-        self.seats.leave();
+    pub fn release(&self) {
+        lock(&self.idle).held -= 1;
+        self.permits.leave();
     }
 
     /// An idle connection that is still good, and from when on it may carry a call; else makes room for a new one. Only
-    /// for the seated.
+    /// for who holds a permit.
     pub fn idle(&self, e: usize, home: Home, now: At) -> Option<(Link, At)> {
         let mut idle = lock(&self.idle);
         while let Some((since, link)) = idle.take(e, now) {
@@ -89,7 +89,7 @@
                 return Some((link, since + RESTS));
             }
         }
-        while idle.count > 0 && idle.count + idle.seated > self.most {
+        while idle.count > 0 && idle.count + idle.held > self.most {
             idle.drop_oldest();
         }
         None
@@ -100,8 +100,8 @@
         let mut idle = lock(&self.idle);
         idle.by_engine.entry(e).or_default().push((now, link));
         idle.count += 1;
-        // The seat of whoever gives it back is still taken.
-        while idle.count + idle.seated > self.most + 1 {
+        // The permit of whoever gives it back is still taken.
+        while idle.count + idle.held > self.most + 1 {
             idle.drop_oldest();
         }
     }
@@ -118,9 +118,9 @@
         idle.count = idle.by_engine.values().map(Vec::len).sum();
     }
 
-    /// Seats taken, and idle connections.
+    /// Permits taken, and idle connections.
     pub fn open(&self) -> (usize, usize) {
         let idle = lock(&self.idle);
-        (idle.seated, idle.count)
+        (idle.held, idle.count)
     }
 }
--- a/front/src/state/heart.rs
+++ b/front/src/state/stalls.rs
@@ -6,8 +6,8 @@
 use std::sync::Mutex;
 
 /// The timer comes by this often.
-pub const BEAT: Span = Span::from_millis(20);
-/// Longer than this between two beats is more than a late timer. A core that is shared stands still for some
+pub const TIMER_PERIOD: Span = Span::from_millis(20);
+/// Longer than this between two marks is more than a late timer. A core that is shared stands still for some
 /// tens of milliseconds, and what came meanwhile has lost as much of its time.
 const STALL: Span = Span::from_millis(35);
 /// Stalls close to each other count as one for this long.
@@ -26,11 +26,11 @@
 /// What came meanwhile is read within this much after it.
 const AFTERMATH: Span = Span::from_millis(200);
 
-pub struct Heart {
-    beats: Mutex<Beats>,
+pub struct Stalls {
+    marks: Mutex<Marks>,
 }
 
-struct Beats {
+struct Marks {
     last: At,
     /// When the worker last looked for events.
     looked: At,
@@ -41,10 +41,10 @@
     stall: (At, At),
 }
 
-impl Heart {
-    pub fn start(now: At) -> Heart {
-        Heart {
-            beats: Mutex::new(Beats {
+impl Stalls {
+    pub fn start(now: At) -> Stalls {
+        Stalls {
+            marks: Mutex::new(Marks {
                 last: now,
                 looked: now,
                 long: false,
@@ -57,45 +57,45 @@
     /// The timer came by; true when there was a long stall since the last time, whoever woke first from it.
     pub fn beat(&self, now: At) -> bool {
         self.mark(now);
-        std::mem::take(&mut lock(&self.beats).long)
+        std::mem::take(&mut lock(&self.marks).long)
     }
 
     /// Something runs.
     fn mark(&self, now: At) {
-        let mut beats = lock(&self.beats);
-        let silence = now.since(beats.last);
+        let mut marks = lock(&self.marks);
+        let silence = now.since(marks.last);
         if silence > STALL {
             // A starved core stands still again and again: what came in the first of it may still be unread.
-            let (from, until) = beats.stall;
-            let goes_on = beats.last.since(until) < AFTERMATH && now.since(from) < CHAIN;
-            beats.stall = (if goes_on { from } else { beats.last }, now);
+            let (from, until) = marks.stall;
+            let goes_on = marks.last.since(until) < AFTERMATH && now.since(from) < CHAIN;
+            marks.stall = (if goes_on { from } else { marks.last }, now);
         }
         if silence >= DEAF {
-            beats.woke = now;
+            marks.woke = now;
         }
-        beats.last = now;
-        beats.long |= silence > LONG;
+        marks.last = now;
+        marks.long |= silence > LONG;
     }
 
     /// The worker looked for events of sockets.
     pub fn looked(&self, now: At) {
-        lock(&self.beats).looked = now;
+        lock(&self.marks).looked = now;
     }
 
     /// Whether the worker has looked for events since then.
     pub fn looked_since(&self, at: At) -> bool {
-        lock(&self.beats).looked > at
+        lock(&self.marks).looked > at
     }
 
     /// Whether whoever could go on at once is to wait, so that the worker looks for the events of others.
-    pub fn starves_others(&self, now: At) -> bool {
-        now.since(lock(&self.beats).looked) > EVENTS_WITHIN
+    pub fn starves_events(&self, now: At) -> bool {
+        now.since(lock(&self.marks).looked) > EVENTS_WITHIN
     }
 
     /// How long nothing may be sent yet: after a long stall the board, which was `heard` last then, is to be read first.
     pub fn deaf_for(&self, now: At, heard: At) -> Span {
         self.mark(now);
-        let woke = lock(&self.beats).woke;
+        let woke = lock(&self.marks).woke;
         let until = if heard > woke { CATCH_UP } else { HEARD_WITHIN };
         (woke + until).since(now)
     }
@@ -103,7 +103,7 @@
     /// The earliest time at which a reader that slept since then may have been sent what it reads now.
     pub fn may_be_from(&self, slept_since: At, now: At) -> At {
         self.mark(now);
-        let (from, until) = lock(&self.beats).stall;
+        let (from, until) = lock(&self.marks).stall;
         let of_the_stall = slept_since <= until && now.since(until) < AFTERMATH;
         if of_the_stall { from.max(slept_since).min(now) } else { now }
     }
--- a/front/src/timer.rs
+++ b/front/src/timer.rs
@@ -1,13 +1,13 @@
 //! The one timer: the module's tick, whoever waits for a time, and what is looked at each tick. A thread of its own, which
 //! waits on no socket: it comes by on time however much there is to run.
 
-use crate::doors::rest;
-use crate::doors::rpc::{QUIET, WHOLE_WITHIN};
-use crate::engines::platform;
+use crate::engines::attempt;
+use crate::protocols::rest;
+use crate::protocols::rpc::{QUIET, WHOLE_WITHIN};
 use crate::state::State;
 use crate::state::clock::wait;
 use crate::state::facade::TICK;
-use crate::state::heart::BEAT;
+use crate::state::stalls::TIMER_PERIOD;
 use larchfall::time::Span;
 use may::os::unix::net::UnixStream;
 use may::sync::Blocker;
@@ -15,24 +15,24 @@
 use std::io::{self, ErrorKind, Read};
 use std::sync::Arc;
 
-pub fn run(state: &Arc<State>, door: Option<&Arc<rest::Door>>) {
+pub fn run(state: &Arc<State>, service: Option<&Arc<rest::RestService>>) {
     let blocker = Blocker::current();
     let mut next_tick = state.clock.now() + TICK;
     loop {
         let next_due = state.alarms.ring(&blocker);
         let now = state.clock.now();
-        if state.heart.beat(now) {
+        if state.stalls.beat(now) {
             warn!(state.log, "this front stood still");
         }
         if now >= next_tick {
             tick(state);
-            if let Some(door) = door {
-                door.pages.expire(now).iter().for_each(|left| rest::give_up(state, left.batch));
+            if let Some(service) = service {
+                service.pages.expire(now).iter().for_each(|left| rest::give_up(state, left.batch));
             }
             // Ticks that a stall left out are not made up for.
             next_tick = (next_tick + TICK).max(now + Span::from_millis(1));
         }
-        let until = next_due.map_or(next_tick, |due| due.min(next_tick)).min(now + BEAT);
+        let until = next_due.map_or(next_tick, |due| due.min(next_tick)).min(now + TIMER_PERIOD);
         let left = state.clock.left(until);
         if !left.is_zero() {
             let _ = blocker.park(Some(left));
@@ -48,7 +48,7 @@
 impl Looks {
     pub fn open() -> io::Result<Looks> {
         let (waits, silent) = UnixStream::pair()?;
-        waits.set_read_timeout(Some(wait(BEAT)))?;
+        waits.set_read_timeout(Some(wait(TIMER_PERIOD)))?;
         Ok(Looks(waits, silent))
     }
 }
@@ -58,7 +58,7 @@
     let Looks(mut waits, _silent) = looks;
     // Both ends stay open, so the wait only ever ends by its time.
     while matches!(waits.read(&mut [0]), Err(e) if e.kind() != ErrorKind::NotConnected) {
-        state.heart.looked(state.clock.now());
+        state.stalls.looked(state.clock.now());
     }
 }
 
@@ -66,7 +66,7 @@
     let to_ask = state.facade.tick();
     for e in to_ask.into_iter().filter(|e| state.is_to_ask(*e)) {
         let state = state.clone();
-        may::go!(move || platform::probe(&state, e));
+        may::go!(move || attempt::probe(&state, e));
     }
     for line in state.facade.log_lines() {
         info!(state.log, "module: {}", line);
--- a/front/tests/front/memory.rs
+++ b/front/tests/front/memory.rs
@@ -13,11 +13,11 @@
 use larchfall_front::state::counters::Counters;
 use larchfall_front::state::due::Due;
 use larchfall_front::state::engines::{Changes, Engines, Home};
-use larchfall_front::state::heart::Heart;
 use larchfall_front::state::limits::Limits;
 use larchfall_front::state::peer::{MOST_OPEN, Opening, Peers};
+use larchfall_front::state::permits::Permits;
 use larchfall_front::state::pool::{Pool, RESTS};
-use larchfall_front::state::seats::Seats;
+use larchfall_front::state::stalls::Stalls;
 use larchfall_front::wire::board::{Entry, Event};
 use larchfall_front::wire::{http, rpc};
 use larchfall_toy::engine::{Act, Engine};
@@ -65,20 +65,20 @@
         ("a new connection", 0, 2100, 100),
     ];
     for (what, slept_since, now, expected) in cases {
-        let heart = Heart::start(ms(100));
-        assert_eq!(heart.may_be_from(ms(slept_since), ms(now)), ms(expected), "{what}");
+        let stalls = Stalls::start(ms(100));
+        assert_eq!(stalls.may_be_from(ms(slept_since), ms(now)), ms(expected), "{what}");
     }
-    let heart = Heart::start(ms(100));
-    [600, 700, 720].iter().for_each(|n| _ = heart.beat(ms(*n)));
-    assert_eq!(heart.may_be_from(ms(50), ms(730)), ms(100), "one stall after the other");
-    let heart = Heart::start(ms(0));
-    assert!(heart.beat(ms(2000)), "a long one");
-    assert_eq!(heart.may_be_from(ms(10), ms(2020)), ms(10), "woken by the stall's end");
-    assert_eq!(heart.may_be_from(ms(2030), ms(2040)), ms(2040), "went to sleep after it");
+    let stalls = Stalls::start(ms(100));
+    [600, 700, 720].iter().for_each(|n| _ = stalls.beat(ms(*n)));
+    assert_eq!(stalls.may_be_from(ms(50), ms(730)), ms(100), "one stall after the other");
+    let stalls = Stalls::start(ms(0));
+    assert!(stalls.beat(ms(2000)), "a long one");
+    assert_eq!(stalls.may_be_from(ms(10), ms(2020)), ms(10), "woken by the stall's end");
+    assert_eq!(stalls.may_be_from(ms(2030), ms(2040)), ms(2040), "went to sleep after it");
     for now in (2040..2400).step_by(20) {
-        heart.beat(ms(now));
+        stalls.beat(ms(now));
     }
-    assert_eq!(heart.may_be_from(ms(10), ms(2400)), ms(2400), "long after it");
+    assert_eq!(stalls.may_be_from(ms(10), ms(2400)), ms(2400), "long after it");
 }
 
 #[test]
@@ -94,10 +94,10 @@
         ("a board that is not there", 2000, 3000, 100, 0),
     ];
     for (what, woke, now, heard, expected) in cases {
-        let heart = Heart::start(ms(100));
-        heart.beat(ms(woke));
-        (woke..now).step_by(20).for_each(|n| _ = heart.beat(ms(n)));
-        assert_eq!(heart.deaf_for(ms(now), ms(heard)), Span::from_millis(expected), "{what}");
+        let stalls = Stalls::start(ms(100));
+        stalls.beat(ms(woke));
+        (woke..now).step_by(20).for_each(|n| _ = stalls.beat(ms(n)));
+        assert_eq!(stalls.deaf_for(ms(now), ms(heard)), Span::from_millis(expected), "{what}");
     }
 }
 
@@ -225,57 +225,57 @@
 }
 
 #[test]
-fn seats_bound_all_connections_and_idle_ones_make_room() {
+fn permits_bound_all_connections_and_idle_ones_make_room() {
     in_coroutine(|| {
         let engine = Engine::start("127.0.0.1:0", |_| Act::Decline).unwrap();
         let pool = Pool::new(2, Span::from_millis(10_000));
         let (clock, alarms) = alarms();
-        assert!(pool.take_seat(1, None) && pool.take_seat(1, None));
-        assert!(!pool.take_seat(1, None), "all taken");
-        assert!(!pool.take_seat(1, Some((&alarms, clock.now() + Span::from_millis(1)))), "none came free");
+        assert!(pool.acquire(1, None) && pool.acquire(1, None));
+        assert!(!pool.acquire(1, None), "all taken");
+        assert!(!pool.acquire(1, Some((&alarms, clock.now() + Span::from_millis(1)))), "none came free");
         for e in 0..4 {
             pool.keep(e, Link::open(v4(engine.address), SOON).unwrap(), ms(e as u64));
         }
-        assert_eq!(pool.open(), (2, 1), "only the giver's own may stay beside two seats");
-        pool.leave_seat();
-        pool.leave_seat();
-        assert!(pool.take_seat(1, None));
+        assert_eq!(pool.open(), (2, 1), "only the giver's own may stay beside two permits");
+        pool.release();
+        pool.release();
+        assert!(pool.acquire(1, None));
         assert!(pool.idle(3, v4(engine.address), ms(5)).is_some(), "the youngest was kept");
     });
 }
 
 #[test]
-fn seats_go_by_priority_then_in_turn() {
+fn permits_go_by_priority_then_in_turn() {
     in_coroutine(|| {
-        let seats = Arc::new(Seats::new(1));
+        let permits = Arc::new(Permits::new(1));
         let (clock, alarms) = alarms();
         let (all, within) = (alarms.clone(), move |wait| clock.now() + Span::from_millis(wait));
-        assert!(seats.take(1, None) && !seats.take(3, None));
+        assert!(permits.take(1, None) && !permits.take(3, None));
         let order = Arc::new(Mutex::new(Vec::new()));
         let waiting: Vec<_> = [(1, 'a'), (3, 'b'), (1, 'c'), (2, 'd'), (3, 'e')]
             .into_iter()
             .map(|(priority, name)| {
-                let before = seats.waiting();
-                let (theirs, order, alarms) = (seats.clone(), order.clone(), alarms.clone());
+                let before = permits.waiting();
+                let (theirs, order, alarms) = (permits.clone(), order.clone(), alarms.clone());
                 let waits = may::go!(move || {
-                    let seated = theirs.take(priority, Some((&alarms, within(20_000))));
+                    let held = theirs.take(priority, Some((&alarms, within(20_000))));
                     order.lock().unwrap().push(name);
                     theirs.leave();
-                    seated
+                    held
                 });
-                while seats.waiting() <= before {
+                while permits.waiting() <= before {
                     may::coroutine::sleep(Duration::from_millis(1));
                 }
                 waits
             })
             .collect();
-        seats.leave();
+        permits.leave();
         assert!(waiting.into_iter().all(|w| w.join().unwrap()));
         assert_eq!(order.lock().unwrap().iter().collect::<String>(), "bedac");
-        assert!(seats.take(1, None), "the last one left it free");
-        assert!(!seats.take(1, Some((&all, within(1)))), "none came free");
-        seats.leave();
-        assert!(seats.take(1, None), "who gave up waiting holds none");
+        assert!(permits.take(1, None), "the last one left it free");
+        assert!(!permits.take(1, Some((&all, within(1)))), "none came free");
+        permits.leave();
+        assert!(permits.take(1, None), "who gave up waiting holds none");
     });
 }
 
