--- a/front/src/protocols/rpc.rs
+++ b/front/src/protocols/rpc.rs
@@ -60,7 +60,7 @@
     for b in peer.abort_all() {
         state.facade.leave(b);
     }
-    // Who never said anything whole has no answer on its way.
+    // Who never asked for anything has no answer on its way.
     if !reason.is_by_client() && peer.has_spoken() {
         linger(state, &stream);
     }
--- a/front/src/state/peer.rs
+++ b/front/src/state/peer.rs
@@ -23,7 +23,7 @@
     quiet_since: At,
     /// Since when a message is awaited whole: the first one, or one that has begun.
     awaits_since: Option<At>,
-    /// A message of it was whole.
+    /// It asked for something.
     spoke: bool,
     /// Its place is needed.
     to_go: bool,
@@ -58,6 +58,7 @@
             return Opening::UsedTwice;
         }
         desk.last_id = id;
+        desk.spoke = true;
         if desk.open.len() >= MOST_OPEN { Opening::TooMany } else { Opening::Open }
     }
 
@@ -126,7 +127,6 @@
     pub fn awaits(&self, any_whole: bool, more: bool, now: At) {
         let mut desk = lock(&self.desk);
         let since = desk.awaits_since.filter(|_| !any_whole).unwrap_or(now);
-        desk.spoke |= any_whole;
         desk.awaits_since = (more || !any_whole).then_some(since);
     }
 
