--- a/front/tests/front/common.rs
+++ b/front/tests/front/common.rs
@@ -3,8 +3,10 @@
 use larchfall_rig::process;
 use larchfall_toy::board::Board;
 use larchfall_toy::engine::Engine;
+use socket2::{Domain, Socket, Type};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::{Deref, DerefMut};
+use std::time::Duration;
 
 pub use larchfall_rig::process::{config, config_of, settings, site, wait_for};
 
@@ -61,6 +63,45 @@
     Nobody { address: stream.local_addr().unwrap(), _held: (listener, stream) }
 }
 
+/// A listener whose queue is full: who connects next is up only once `let_in` has taken the others out of it.
+pub struct Full {
+    listener: TcpListener,
+    filled: usize,
+}
+
+impl Full {
+    pub fn start() -> Full {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(100));
+        let filled = std::iter::from_fn(|| fill().ok()).take(16).count();
+        Full { listener, filled }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Waits until the front is about to connect here.
+    pub fn until_dialled(&self) {
+        let port = format!(":{:04X} 02 ", self.address().port());
+        wait_for("the front to connect", || {
+            std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&port).then_some(())
+        });
+    }
+
+    /// The front's own connection.
+    pub fn let_in(&self) -> TcpStream {
+        for _ in 0..self.filled {
+            self.listener.accept().unwrap();
+        }
+        self.listener.accept().unwrap().0
+    }
+}
+
 /// An engine that is seen to have come this far.
 pub fn until_seen(engine: &Engine, what: &str, seen: impl Fn(&larchfall_toy::engine::Seen) -> bool) {
     wait_for(what, || seen(&engine.seen()).then_some(()));
--- a/front/tests/front/crossings.rs
+++ b/front/tests/front/crossings.rs
@@ -1,12 +1,11 @@
 //! Moments in which two things cross, each forced: engines and clients here are scripts that hold, split or release bytes at
 //! a marked point. The list of them is docs/races.md.
 
-use crate::common::{Front, PROGRAM, config, config_of, settings, wait_for};
+use crate::common::{Front, Full, PROGRAM, config, config_of, settings, wait_for};
 use larchfall_rig::relay::{Relays, Way};
 use larchfall_toy::board::Board;
 use larchfall_toy::client::{Answer, Client, request};
 use larchfall_toy::engine::{Act, Engine};
-use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Stdio};
@@ -104,45 +103,6 @@
     }
 }
 
-/// A listener whose queue is full: who connects next is up only once `let_in` has taken the others out of it.
-struct Full {
-    listener: TcpListener,
-    filled: usize,
-}
-
-impl Full {
-    fn start() -> Full {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().unwrap();
-        let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(100));
-        let filled = std::iter::from_fn(|| fill().ok()).take(16).count();
-        Full { listener, filled }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.listener.local_addr().unwrap()
-    }
-
-    /// Waits until the front is about to connect here.
-    fn until_dialled(&self) {
-        let port = format!(":{:04X} 02 ", self.address().port());
-        wait_for("the front to connect", || {
-            std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&port).then_some(())
-        });
-    }
-
-    /// The front's own connection.
-    fn let_in(&self) -> TcpStream {
-        for _ in 0..self.filled {
-            self.listener.accept().unwrap();
-        }
-        self.listener.accept().unwrap().0
-    }
-}
-
 /// What came on it until it ended.
 fn all_of(mut stream: TcpStream) -> String {
     stream.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
--- a/front/tests/front/sockets.rs
+++ b/front/tests/front/sockets.rs
@@ -1,14 +1,13 @@
 //! The program on loopback sockets, between toy engines, a toy board and toy clients.
 
-use crate::common::{Front, config, config_of, nobody, settings, until_seen, wait_for};
+use crate::common::{Front, Full, config, config_of, nobody, settings, until_seen, wait_for};
 use larchfall_rig::relay::{Relays, Way};
 use larchfall_toy::board::{Board, Listed, frame};
 use larchfall_toy::client::{Answer, Client, request};
 use larchfall_toy::engine::{Act, Engine};
 use larchfall_toy::hall::{Fate, Hall, RUNS_ON};
-use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
@@ -546,42 +545,23 @@
     assert_eq!(answers, [(1, rows("ok\n")), (2, rows("ok\n"))]);
 }
 
-/// A listener whose queue is full, and the connections that fill it: who connects next is up only once they are
-/// taken out of it.
-fn full_listener() -> (TcpListener, usize) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-    socket.listen(0).unwrap();
-    let listener = TcpListener::from(socket);
-    let address = listener.local_addr().unwrap();
-    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(100));
-    let filled = std::iter::from_fn(|| fill().ok()).take(16).count();
-    (listener, filled)
-}
-
 /// Guards against what was picked before a stall and is sent after it: its engine drains by then, and the grace that
 /// it was told with has run out.
 #[test]
 fn what_was_picked_before_a_stall_is_not_sent_to_an_engine_that_drains_by_then() {
-    let (engine, filled) = full_listener();
-    let address = engine.local_addr().unwrap();
+    let engine = Full::start();
+    let address = engine.address();
     let board = Board::start("127.0.0.1:0").unwrap();
     let patient = settings().replace(r#""connect_timeout":250000"#, r#""connect_timeout":20000000"#);
     let text = config_of("127.0.0.1:0", board.address, &[address], 256, &patient);
     let front = Front::start_with(board, &text);
     let mut client = front.client();
     client.send("look", &fields(ID, "25000"), "").unwrap();
-    let port = format!(":{:04X} 02 ", address.port());
-    wait_for("the front to connect", || {
-        std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&port).then_some(())
-    });
+    engine.until_dialled();
     let stopped = Instant::now();
     front.stop();
     front.list(2, &[(1, address, 1)]);
-    for _ in 0..filled {
-        engine.accept().unwrap();
-    }
-    let (mut stream, _) = engine.accept().unwrap();
+    let mut stream = engine.let_in();
     wait_for("the grace to run out", || (stopped.elapsed() > Duration::from_millis(2500)).then_some(()));
     front.signal("-CONT");
     assert_eq!(client.answer().unwrap(), (1, Answer::Error("Rejected".into(), Some("500".into()))));
