Turns alone use three quarters of the slack at an engine in slow start

There are 300 fronts there and no batch fits into a share, so all goes by turns, of which a load has a sixteenth. Turns beside shares keep half.

Tests: tests/slow_start.rs holds.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -257,14 +257,15 @@
 }
 
 /// Fronts that have a turn in the rule's window, for each batch of the mix of (batches, work): what goes by
-/// turns alone stays within the budget, and beside shares within what they leave of it and half of the slack.
+/// turns stays within what shares leave of the budget, and a part of the slack: more where they leave all.
 fn cold_turns(all: f64, share: f64, mix: &[(f64, f64)]) -> f64 {
     let (by_turns, fit): (Vec<_>, Vec<_>) = mix.iter().partition(|(_, work)| *work > share * COLD_SPEND);
     let sum = |mix: &[(f64, f64)]| mix.iter().map(|(n, work)| n * work).sum::<f64>();
     let mean = sum(mix) / mix.iter().map(|(n, _)| n).sum::<f64>();
     let batches = all / mean;
     let slack = if batches < 30.0 { 3.0 * batches.sqrt() + 3.0 } else { 2.0 * batches.sqrt() + 2.0 };
-    let left = if fit.is_empty() { all } else { all * (1.0 - COLD_SPEND) + slack * mean / 2.0 };
+    let (left, of_slack) = if fit.is_empty() { (all, 0.75) } else { (all * (1.0 - COLD_SPEND), 0.5) };
+    let left = left + slack * mean * of_slack;
     left / sum(&by_turns).max(1e-9) / (1.0 + COLD_TURN)
 }
 
