Review case 2: bad clients' statements take the front over its memory

Cause: requests in flight are bounded by 24 KiB each, while a statement may have 128 KiB and is kept whole.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,8 @@
 
 #[path = "../1/case.rs"]
 mod case1;
+#[path = "../2/case.rs"]
+mod case2;
 
 use record::Record;
 use std::io;
@@ -26,6 +28,7 @@
 fn run(name: &str, record: &Record, trouble: bool) -> io::Result<Verdict> {
     match name {
         "1" => case1::run(record, trouble),
+        "2" => case2::run(record, trouble),
         _ => Err(io::Error::other("usage: larchfall-review N FOLDER")),
     }
 }
