Review case 3: after a stall loads of one key are sent out of order

Cause: a key is ordered by admission, and after a stall connections are read in the order of their coroutines. Change: a script that stops the front for 1,800 ms three times while pairs of loads come.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -13,6 +13,8 @@
 mod case1;
 #[path = "../2/case.rs"]
 mod case2;
+#[path = "../3/case.rs"]
+mod case3;
 
 use record::Record;
 use std::io;
@@ -29,6 +31,7 @@
     match name {
         "1" => case1::run(record, trouble),
         "2" => case2::run(record, trouble),
+        "3" => case3::run(record, trouble),
         _ => Err(io::Error::other("usage: larchfall-review N FOLDER")),
     }
 }
