--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -92,6 +92,8 @@
     let mut front = Front::start(
         record,
         &FrontSetup {
+            number: 0,
+            fronts: 1,
             limits: FrontLimits { memory_mb: MEMORY_MB, sockets: 1024 },
             discovery: &discovery,
             settings: CARDIFF,
--- a/review/standin/front.rs
+++ b/review/standin/front.rs
@@ -3,8 +3,8 @@
 use crate::client::{Answer, Client};
 use crate::discovery::Discovery;
 use crate::record::Record;
-use std::fs::{self, File};
-use std::io;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -40,6 +40,9 @@
 
 /// What a front is started with.
 pub struct FrontSetup<'a> {
+    /// Number of this front, from 0, and how many there are.
+    pub number: usize,
+    pub fronts: usize,
     pub limits: FrontLimits,
     pub discovery: &'a Discovery,
     /// The object `settings` of the configuration, as JSON.
@@ -50,28 +53,31 @@
     /// Starts a front and waits until it answers `ping` with true.
     pub fn start(record: &Record, setup: &FrontSetup) -> io::Result<Front> {
         let base = std::env::var_os("TMPDIR").map_or_else(std::env::temp_dir, PathBuf::from);
-        let directory = base.join(format!("larchfall-review-{}", std::process::id()));
+        let FrontSetup { number, fronts, .. } = setup;
+        let directory = base.join(format!("larchfall-review-{}-n{number}", std::process::id()));
         fs::create_dir_all(&directory)?;
         let address = free_address()?;
         let FrontLimits { memory_mb, sockets } = setup.limits;
         let config = format!(
-            r#"{{"name":"n0","listen":"{address}","seed":"{:016x}",
+            r#"{{"name":"n{number}","listen":"{address}","seed":"{:016x}",
 "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
 "board":"{}","known":{},
 "settings":{}}}"#,
-            u64::from(std::process::id()) << 20 | 0x5eed,
+            u64::from(std::process::id()) << 20 | 0x5eed << 2 | *number as u64,
             setup.discovery.address,
             setup.discovery.known(),
-            setup.settings
+            setup
+                .settings
+                .replace(r#""instances":1,"me":0"#, &format!(r#""instances":{fronts},"me":{number}"#))
         );
         let config_path = directory.join("config.json");
         fs::write(&config_path, config)?;
         let command = run_command()?;
-        record.line(format!("platform: starts a front by '{command}' at {address}"));
+        record.line(format!("platform: starts front n{number} by '{command}' at {address}"));
         let log = File::create(directory.join("front.log"))?;
         let process = Command::new("/bin/sh")
             .args(["-c", &command])
-            .env("NODE_NAME", "n0")
+            .env("NODE_NAME", format!("n{number}"))
             .env("NODE_LISTEN", address.to_string())
             .env("NODE_CONFIG", &config_path)
             .stdin(Stdio::null())
@@ -79,11 +85,12 @@
             .stderr(log)
             .spawn()?;
         if let Some(pids) = std::env::var_os("REVIEW_PIDS") {
-            fs::write(pids, format!("{}\n", process.id()))?;
+            let mut pids = OpenOptions::new().create(true).append(true).open(pids)?;
+            writeln!(pids, "{}", process.id())?;
         }
         let front = Front { process, address, directory };
         front.wait_until_ready()?;
-        record.line("platform: the front answers ping");
+        record.line(format!("platform: front n{number} answers ping"));
         Ok(front)
     }
 
@@ -107,7 +114,8 @@
 
     /// Sends a signal to the front.
     pub fn signal(&self, name: &str) -> io::Result<()> {
-        let status = Command::new("kill").args([&format!("-{name}"), &self.id().to_string()]).status()?;
+        // The shell's own kill: not every machine has the program.
+        let status = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", self.id())]).status()?;
         if status.success() { Ok(()) } else { Err(io::Error::other(format!("kill -{name} failed"))) }
     }
 
