Bound requests in flight by their bytes, with a dynamic threshold a connection

Cause: requests in flight were bounded by number alone, a third of the memory at 24 KiB each, while a statement may have 128 KiB.

Change: each request reserves its fixed part and its statement in one pool (a third of the memory, as before) until its coroutine has ended. The pool admits by dynamic thresholds (policy/memory_budget.rs): a connection may hold at most as much as stays free for all, so small requests are admitted beside any number of greedy connections. Who is refused gets `Rejected` with the longest retry-after at once. The limit by number goes: it is what the bytes come to without statements. `kill -USR1` logs the bytes by purpose, their most, and refusals.

--- a/crates/fault-tests/src/gateway_process.rs
+++ b/crates/fault-tests/src/gateway_process.rs
@@ -111,6 +111,18 @@
         self.process.0.id()
     }
 
+    /// The most resident memory that the process has had.
+    ///
+    /// # Panics
+    ///
+    /// If the process has ended.
+    pub fn peak_memory_bytes(&self) -> usize {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kibibytes = peak.and_then(|peak| peak.trim().strip_suffix(" kB")).map(str::parse::<usize>);
+        kibibytes.expect("a running process").expect("a number") << 10
+    }
+
     /// A new client of it.
     pub fn client(&self) -> Client {
         Client::connect(self.address).unwrap()
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -6,7 +6,9 @@
 use crate::request;
 use crate::request_context::{RequestContext, ResultReader};
 use crate::state::State;
-use crate::state::policy_handle::AdmissionError;
+use crate::state::limits::BYTES_PER_REQUEST;
+use crate::state::memory::{BudgetExceeded, MemoryAccount, Purpose, Reservation};
+use crate::state::policy_handle::DuplicateId;
 use larchfall_policy::time::{Duration, Timestamp};
 use larchfall_policy::types::{Request, RoutingDecision};
 use std::sync::Arc;
@@ -27,9 +29,9 @@
     /// The request does not match the settings, or its id is in use.
     #[error(transparent)]
     Invalid(#[from] InvalidRequest),
-    /// The limit of requests in flight, which follows from the machine's memory, is reached.
-    #[error("too many requests in flight")]
-    TooManyInFlight,
+    /// The memory for requests in flight does not admit this request of this client.
+    #[error(transparent)]
+    OverMemoryBudget(#[from] BudgetExceeded),
 }
 
 /// Why a request is invalid. The messages go to clients and use the field names of MessagePack-RPC.
@@ -90,11 +92,12 @@
     })
 }
 
-/// Admits and starts a request that was sent at `sent_at`. `make_reader` creates the reader of the result from the
-/// request's index. The first routing decision is made before this function returns, so that requests with the same
+/// Admits and starts a request that was sent at `sent_at`. The request's memory is held by `account` until the request
+/// has ended. `make_reader` creates the reader of the result from the request's index. The first routing decision is made before this function returns, so that requests with the same
 /// ordering key are routed in the order in which they were read from the connection.
 pub fn admit(
     state: &Arc<State>,
+    account: &Arc<MemoryAccount>,
     client_request: &ClientRequest,
     sent_at: Timestamp,
     make_reader: impl FnOnce(usize) -> Arc<dyn ResultReader>,
@@ -103,13 +106,13 @@
         policy_request(state, client_request, sent_at).map_err(|invalid| count_invalid(state, invalid))?;
     let Request { class, deadline, .. } = request;
     state.counters.update_class(class, |counters| counters.admitted += 1);
-    let index = state.policy.admit(client_request.id_number, request).map_err(|error| match error {
-        AdmissionError::DuplicateId => count_invalid(state, InvalidRequest::DuplicateId),
-        AdmissionError::TooManyInFlight => {
-            state.counters.update_class(class, |counters| counters.rejected += 1);
-            RequestError::TooManyInFlight
-        }
+    let memory = reserve_memory(account, client_request).inspect_err(|_| {
+        state.counters.update_class(class, |counters| counters.rejected += 1);
     })?;
+    let index = state
+        .policy
+        .admit(client_request.id_number, request)
+        .map_err(|DuplicateId| count_invalid(state, InvalidRequest::DuplicateId))?;
     let context = RequestContext {
         id: client_request.id.to_owned(),
         class,
@@ -117,12 +120,21 @@
         deadline,
         idempotency_key: client_request.idempotency_key.map(str::to_owned),
         statement: client_request.statement.to_vec(),
+        memory,
         reader: make_reader(index),
     };
     start(state, context, index);
     Ok(())
 }
 
+/// Reserves the memory that a request occupies while it is in flight.
+fn reserve_memory(
+    account: &Arc<MemoryAccount>,
+    client_request: &ClientRequest,
+) -> Result<Reservation, BudgetExceeded> {
+    account.reserve(Purpose::Request, BYTES_PER_REQUEST + client_request.statement.len())
+}
+
 /// Counts an invalid request and converts the reason to the error of [`admit`].
 fn count_invalid(state: &State, invalid: InvalidRequest) -> RequestError {
     state.counters.update_gateway(|counters| counters.invalid_requests += 1);
--- a/crates/gateway/src/client/message_pack/connection.rs
+++ b/crates/gateway/src/client/message_pack/connection.rs
@@ -5,6 +5,7 @@
 use crate::client::CloseReason;
 use crate::state::State;
 use crate::state::client_connections::RegisteredConnection;
+use crate::state::memory::MemoryAccount;
 use crate::state::response_writer::ResponseWriter;
 use larchfall_policy::time::{Duration, Timestamp};
 use may::io::WaitIo;
@@ -91,6 +92,8 @@
     state: &'a Arc<State>,
     stream: &'a TcpStream,
     writer: &'a Arc<ResponseWriter>,
+    /// Account for the memory of the connection's requests.
+    account: Arc<MemoryAccount>,
     inbox: Inbox,
     queued_since: Option<Timestamp>,
     /// Set when the client violated the protocol. Further input is discarded, and outstanding responses are still sent.
@@ -113,6 +116,7 @@
             state,
             stream,
             writer,
+            account: state.request_memory.account(),
             inbox: Inbox::default(),
             queued_since,
             protocol_error: None,
@@ -139,7 +143,8 @@
         if self.protocol_error.is_some() {
             self.inbox = Inbox::default();
         } else if has_input {
-            self.protocol_error = requests::handle_messages(self.state, self.writer, &mut self.inbox).err();
+            self.protocol_error =
+                requests::handle_messages(self.state, self.writer, &self.account, &mut self.inbox).err();
         }
         let now = self.state.clock.now();
         if written + read > 0 || has_input {
--- a/crates/gateway/src/client/message_pack/requests.rs
+++ b/crates/gateway/src/client/message_pack/requests.rs
@@ -6,6 +6,7 @@
 use crate::codec::client_request::ClientRequest;
 use crate::codec::message_pack::{Message, Response};
 use crate::request_context::{FinalAnswer, ResultReader};
+use crate::state::memory::MemoryAccount;
 use crate::state::response_writer::{MessageIdCheck, ResponseWriter};
 use crate::state::{State, lock};
 use larchfall_policy::time::Timestamp;
@@ -15,6 +16,7 @@
 pub(super) fn handle_messages(
     state: &Arc<State>,
     writer: &Arc<ResponseWriter>,
+    account: &Arc<MemoryAccount>,
     inbox: &mut Inbox,
 ) -> Result<(), CloseReason> {
     let mut handled = 0;
@@ -38,7 +40,7 @@
             }
             Message::Request { message_id, request } => {
                 if register_message_id(writer, message_id)? {
-                    admit(state, writer, message_id, &request, sent);
+                    admit(state, writer, account, message_id, &request, sent);
                 } else {
                     reject_over_limits(state, writer, message_id);
                 }
@@ -63,11 +65,12 @@
 fn admit(
     state: &Arc<State>,
     writer: &Arc<ResponseWriter>,
+    account: &Arc<MemoryAccount>,
     message_id: u32,
     request: &ClientRequest,
     sent: Timestamp,
 ) {
-    let admitted = admission::admit(state, request, sent, |index| {
+    let admitted = admission::admit(state, account, request, sent, |index| {
         writer.open_request(message_id, index);
         Arc::new(BufferedResult { writer: writer.clone(), message_id, rows: Mutex::default() })
     });
@@ -76,7 +79,7 @@
         Err(RequestError::Invalid(invalid)) => {
             writer.send(message_id, &Response::Errored(&invalid.to_string()));
         }
-        Err(RequestError::TooManyInFlight) => reject_over_limits(state, writer, message_id),
+        Err(RequestError::OverMemoryBudget(_)) => reject_over_limits(state, writer, message_id),
     }
 }
 
--- a/crates/gateway/src/client/paged_rest/connection.rs
+++ b/crates/gateway/src/client/paged_rest/connection.rs
@@ -6,6 +6,7 @@
 use crate::client::CloseReason;
 use crate::state::State;
 use crate::state::clock::to_std_timeout;
+use crate::state::memory::MemoryAccount;
 use larchfall_paged_rest::call::{self, Call, CallError, Method, Progress};
 use larchfall_policy::time::{Duration, Timestamp};
 use may::net::TcpStream;
@@ -48,6 +49,8 @@
     state: &'a Arc<State>,
     service: &'a Arc<RestService>,
     stream: TcpStream,
+    /// Account for the memory of the connection's requests.
+    account: Arc<MemoryAccount>,
     input: Vec<u8>,
     /// When the next call must be complete.
     deadline: Timestamp,
@@ -58,7 +61,15 @@
 impl<'a> CallExchange<'a> {
     fn new(state: &'a Arc<State>, service: &'a Arc<RestService>, stream: TcpStream) -> CallExchange<'a> {
         let deadline = state.clock.now() + CALL_TIMEOUT;
-        CallExchange { state, service, stream, input: Vec::new(), deadline, sent_continue: false }
+        CallExchange {
+            state,
+            service,
+            stream,
+            account: state.request_memory.account(),
+            input: Vec::new(),
+            deadline,
+            sent_continue: false,
+        }
     }
 
     /// Runs until the connection ends, and closes the socket.
@@ -90,7 +101,7 @@
     /// Handles a call, writes its response, and starts the timeout of the next call.
     fn respond(&mut self, call: &Call) -> Result<(), CloseReason> {
         let closes = call.closes_connection || self.state.shutdown.is_complete();
-        let response = calls::handle(self.state, self.service, call);
+        let response = calls::handle(self.state, self.service, &self.account, call);
         self.write(&response.encode(closes, call.method))?;
         if closes {
             return Err(if call.closes_connection {
--- a/crates/gateway/src/client/paged_rest/statement.rs
+++ b/crates/gateway/src/client/paged_rest/statement.rs
@@ -8,6 +8,7 @@
 use super::service::RestService;
 use crate::admission::{self, RequestError};
 use crate::state::State;
+use crate::state::memory::MemoryAccount;
 use crate::state::result_pages::AwaitedPage;
 use larchfall_paged_rest::call::{Call, Response};
 use larchfall_paged_rest::cursor::{Page, ResultEnd};
@@ -20,9 +21,14 @@
 const SHUTDOWN_RETRY_SECONDS: u64 = 1;
 
 /// Admits a statement and returns the response to its call.
-pub(super) fn submit(state: &Arc<State>, service: &Arc<RestService>, call: &Call) -> Response {
+pub(super) fn submit(
+    state: &Arc<State>,
+    service: &Arc<RestService>,
+    account: &Arc<MemoryAccount>,
+    call: &Call,
+) -> Response {
     let received = state.clock.now();
-    match admit(state, service, call, received) {
+    match admit(state, service, account, call, received) {
         Ok(first_page) => first_page_response(state, service, call, first_page, received),
         Err(response) => response,
     }
@@ -32,6 +38,7 @@
 fn admit(
     state: &Arc<State>,
     service: &Arc<RestService>,
+    account: &Arc<MemoryAccount>,
     call: &Call,
     received: Timestamp,
 ) -> Result<PageAddress, Response> {
@@ -57,7 +64,7 @@
         state.counters.update_gateway(|counters| counters.over_limits += 1);
         return Err(responses::rejected(state.settings.max_retry_after));
     };
-    let admitted = admission::admit(state, &request, received, |index| {
+    let admitted = admission::admit(state, account, &request, received, |index| {
         service.pages.set_request(result, index);
         Arc::new(PagedResult::new(state, service, result, received))
     });
@@ -69,7 +76,7 @@
                 RequestError::Invalid(error) => {
                     responses::invalid_call(400, &request_fields::invalid_request_text(error))
                 }
-                RequestError::TooManyInFlight => responses::rejected(state.settings.max_retry_after),
+                RequestError::OverMemoryBudget(_) => responses::rejected(state.settings.max_retry_after),
             })
         }
     }
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -1,6 +1,7 @@
 //! Protocol-independent view of a client's request: the data sent to engines, the reader of the result, and the final
 //! answer.
 
+use crate::state::memory::Reservation;
 use larchfall_policy::time::{Duration, Timestamp};
 use std::sync::Arc;
 
@@ -18,6 +19,8 @@
     pub idempotency_key: Option<String>,
     /// The statement that the engine runs.
     pub statement: Vec<u8>,
+    /// Memory of the request, in the account of the client's connection.
+    pub memory: Reservation,
     /// Receiver of the rows and of the final answer.
     pub reader: Arc<dyn ResultReader>,
 }
--- a/crates/gateway/src/startup/state.rs
+++ b/crates/gateway/src/startup/state.rs
@@ -9,6 +9,7 @@
 use crate::state::counters::Counters;
 use crate::state::discovery_status::DiscoveryStatus;
 use crate::state::limits::Limits;
+use crate::state::memory::MemoryPool;
 use crate::state::policy_handle::PolicyHandle;
 use crate::state::settings::TransportSettings;
 use crate::state::shutdown::Shutdown;
@@ -53,7 +54,8 @@
         counters: Counters::new(transport_settings.classes.len()),
         settings: transport_settings,
         limits,
-        policy: PolicyHandle::new(policy, clock, limits.requests, timers.clone()),
+        request_memory: MemoryPool::new(limits.request_bytes),
+        policy: PolicyHandle::new(policy, clock, timers.clone()),
         timers,
         client_connections: ClientConnections::new(limits.unsent_bytes),
         engine_connections: Arc::new(ConnectionPool::new(
--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -12,8 +12,9 @@
 const RESPONSE_MEMORY_DIVISOR: usize = 4;
 /// Divisor of the machine's memory that gives the memory for requests in flight.
 const REQUEST_MEMORY_DIVISOR: usize = 3;
-/// Memory of a request in flight in bytes: the stack of its coroutine, and its statement.
-const BYTES_PER_REQUEST: usize = 24 * 1024;
+/// Memory of a request in flight in bytes, without its statement: the part of its coroutine's stack that is touched,
+/// its records, and the input buffer of its engine connection.
+pub const BYTES_PER_REQUEST: usize = 24 * 1024;
 
 struct Fraction {
     numerator: usize,
@@ -33,8 +34,8 @@
     pub client_connections: usize,
     /// Maximum number of open connections to engines.
     pub engine_connections: usize,
-    /// Maximum number of requests in flight, over all clients.
-    pub requests: usize,
+    /// Memory for requests in flight, in bytes, over all clients.
+    pub request_bytes: usize,
     /// Maximum size of responses not yet sent, in bytes, over all clients.
     pub unsent_bytes: usize,
 }
@@ -48,13 +49,19 @@
         let limits = Limits {
             client_connections: CLIENT_DESCRIPTOR_FRACTION.of(descriptors),
             engine_connections: ENGINE_DESCRIPTOR_FRACTION.of(descriptors),
-            requests: memory / REQUEST_MEMORY_DIVISOR / BYTES_PER_REQUEST,
+            request_bytes: memory / REQUEST_MEMORY_DIVISOR,
             unsent_bytes: memory / RESPONSE_MEMORY_DIVISOR,
         };
-        let is_usable = limits.client_connections > 0 && limits.engine_connections > 0 && limits.requests > 0;
+        let is_usable =
+            limits.client_connections > 0 && limits.engine_connections > 0 && limits.max_requests() > 0;
         is_usable.then_some(limits)
     }
 
+    /// Number of requests without a statement that the memory for requests in flight allows.
+    pub fn max_requests(&self) -> usize {
+        self.request_bytes / BYTES_PER_REQUEST
+    }
+
     /// Reserves `reserved` client connections for another protocol; returns `None` if no client connections remain.
     pub fn reserve_client_connections(self, reserved: usize) -> Option<Limits> {
         let remaining = self.client_connections.checked_sub(reserved).filter(|remaining| *remaining > 0)?;
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -12,6 +12,7 @@
 pub mod discovery_status;
 pub mod engine_table;
 pub mod limits;
+pub mod memory;
 pub mod policy_handle;
 pub mod response_writer;
 pub mod result_pages;
@@ -28,6 +29,7 @@
 use larchfall_leases::load_sharing::LoadReportSharing;
 use larchfall_policy::time::{Duration, Timestamp};
 use limits::Limits;
+use memory::MemoryPool;
 use policy_handle::PolicyHandle;
 use settings::TransportSettings;
 use shutdown::Shutdown;
@@ -52,6 +54,8 @@
     pub settings: TransportSettings,
     /// Resource limits of the transport, fixed at startup.
     pub limits: Limits,
+    /// Memory of requests in flight.
+    pub request_memory: Arc<MemoryPool>,
     /// The policy, the endpoint list and the requests in flight.
     pub policy: PolicyHandle,
     /// Open MessagePack-RPC client connections.
@@ -95,7 +99,8 @@
 
     /// Writes all counters to the log.
     pub fn log_counters(&self) {
-        for line in self.counters.log_lines(&self.settings.names.classes) {
+        let counters = self.counters.log_lines(&self.settings.names.classes);
+        for line in counters.into_iter().chain(self.request_memory.log_lines()) {
             info!(self.log, "{}", line);
         }
     }
--- a/crates/gateway/src/state/policy_handle.rs
+++ b/crates/gateway/src/state/policy_handle.rs
@@ -25,7 +25,7 @@
 
 pub use capacity::QuotaEngine;
 pub use engines::{EndpointSummary, EngineStatus};
-pub use in_flight::{AdmissionError, DisconnectAction};
+pub use in_flight::{DisconnectAction, DuplicateId};
 pub use larchfall_policy::policy::TICK_INTERVAL;
 
 /// Thread-safe handle to the policy and to the state that must stay consistent with the policy.
@@ -47,12 +47,12 @@
 }
 
 impl PolicyHandle {
-    /// Creates a handle without engines or requests. At most `max_in_flight` requests are admitted at the same time.
-    pub fn new(policy: Policy, clock: Clock, max_in_flight: usize, timers: Arc<Timers>) -> PolicyHandle {
+    /// Creates a handle without engines or requests.
+    pub fn new(policy: Policy, clock: Clock, timers: Arc<Timers>) -> PolicyHandle {
         let state = PolicyState {
             policy,
             engines: EngineTable::default(),
-            in_flight: InFlightRequests::new(max_in_flight),
+            in_flight: InFlightRequests::default(),
             arrivals: Arrivals::default(),
             capacity: CapacityPlan::default(),
             observations: None,
--- a/crates/gateway/src/state/policy_handle/in_flight.rs
+++ b/crates/gateway/src/state/policy_handle/in_flight.rs
@@ -6,17 +6,11 @@
 use std::sync::Arc;
 use thiserror::Error;
 
-/// Why a request was not admitted.
+/// Another request with the same id is in flight. Engines identify queries by this id alone, so that cancelling the
+/// second request would cancel the first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum AdmissionError {
-    /// The limit of requests in flight, which follows from the machine's memory, is reached.
-    #[error("too many requests in flight")]
-    TooManyInFlight,
-    /// Another request with the same id is in flight. Engines identify queries by this id alone, so that cancelling the
-    /// second request would cancel the first.
-    #[error("a request with this id is already in flight")]
-    DuplicateId,
-}
+#[error("a request with this id is already in flight")]
+pub struct DuplicateId;
 
 /// How the coroutine of a request proceeds after the request's client has disconnected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,25 +31,18 @@
     pub(super) waiter: Option<Arc<Blocker>>,
 }
 
-/// All requests in flight, up to a maximum number.
+/// All requests in flight. Their number is bounded by the memory that each request reserves before it is admitted.
+#[derive(Default)]
 pub(super) struct InFlightRequests {
     requests: Slab<InFlightRequest>,
     ids: HashSet<u64>,
-    max_requests: usize,
 }
 
 impl InFlightRequests {
-    pub(super) fn new(max_requests: usize) -> InFlightRequests {
-        InFlightRequests { requests: Slab::new(), ids: HashSet::new(), max_requests }
-    }
-
     /// Adds a request and returns its index.
-    pub(super) fn insert(&mut self, id: u64) -> Result<usize, AdmissionError> {
-        if self.requests.len() >= self.max_requests {
-            return Err(AdmissionError::TooManyInFlight);
-        }
+    pub(super) fn insert(&mut self, id: u64) -> Result<usize, DuplicateId> {
         if !self.ids.insert(id) {
-            return Err(AdmissionError::DuplicateId);
+            return Err(DuplicateId);
         }
         Ok(self.requests.insert(InFlightRequest { id, disconnect_action: None, waiter: None }))
     }
--- a/crates/gateway/src/state/policy_handle/requests.rs
+++ b/crates/gateway/src/state/policy_handle/requests.rs
@@ -1,6 +1,6 @@
 //! The policy calls that concern a single request: admission, routing, attempts, disconnection and release.
 
-use super::in_flight::{AdmissionError, DisconnectAction};
+use super::in_flight::{DisconnectAction, DuplicateId};
 use super::{PolicyHandle, PolicyState};
 use crate::state::engine_table::EngineInstance;
 use larchfall_policy::types::{AfterAttempt, AttemptResult, ProgressUpdate, Request, RoutingDecision};
@@ -9,7 +9,7 @@
 impl PolicyHandle {
     /// Admits a request and returns its index. `id` identifies the request's query at engines and must not be in use by
     /// another request in flight.
-    pub fn admit(&self, id: u64, request: Request) -> Result<usize, AdmissionError> {
+    pub fn admit(&self, id: u64, request: Request) -> Result<usize, DuplicateId> {
         let mut state = self.lock();
         let index = state.in_flight.insert(id)?;
         state.arrivals.count(request.class, request.tenant);
--- /dev/null
+++ b/crates/gateway/tests/gateway/sockets/memory.rs
@@ -0,0 +1,113 @@
+//! The memory of the whole process while clients send more than fits, and other clients beside them.
+
+use super::{FOREVER, NOW, fields, fields_of, pages, rows};
+use crate::common::{Gateway, config, wait_for};
+use larchfall_stub::client::{Answer, Client};
+use larchfall_stub::discovery::Discovery;
+use larchfall_stub::engine::{Engine, EngineBehavior};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const DESCRIPTORS: usize = 1024;
+/// Number of requests that a connection may have open.
+const OPEN_REQUESTS: usize = 32;
+/// Time within which a client that keeps its requests small has its answer beside all others.
+const USUAL_CLIENT_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// An engine that runs loads without end and everything else at once.
+fn engine() -> Engine {
+    Engine::start("127.0.0.1:0", |call| {
+        let duration = if call.statement.starts_with(b"insert") { FOREVER } else { NOW };
+        EngineBehavior::Serve(duration, pages(&["ok\n"]))
+    })
+    .unwrap()
+}
+
+/// A gateway of which the platform says that it has this much memory.
+fn start_gateway(memory_mb: usize, engine: &Engine) -> Gateway {
+    let discovery = Discovery::start("127.0.0.1:0").unwrap();
+    let text = config("127.0.0.1:0", discovery.address, Some(engine.address), DESCRIPTORS);
+    let text = text.replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory_mb}"));
+    Gateway::start_with(discovery, &text)
+}
+
+/// Connections that each send as many loads at once as a connection may have open, and read their answers.
+#[derive(Clone, Copy)]
+struct LoadFlood {
+    connections: usize,
+    statement_bytes: usize,
+}
+
+impl LoadFlood {
+    fn requests(self) -> usize {
+        self.connections * OPEN_REQUESTS
+    }
+
+    /// Starts to send. Returns the number of rejections with a retry-after time, as it grows.
+    fn start(self, gateway: SocketAddr) -> Arc<AtomicUsize> {
+        let rejected = Arc::new(AtomicUsize::new(0));
+        for connection in 0..self.connections {
+            let rejected = rejected.clone();
+            thread::spawn(move || self.send_and_read(gateway, connection, &rejected));
+        }
+        rejected
+    }
+
+    fn send_and_read(self, gateway: SocketAddr, connection: usize, rejected: &AtomicUsize) {
+        let mut client = Client::connect(gateway).unwrap();
+        let insert = "insert into feed_3.events values (1)";
+        let statement = insert.to_owned() + &" ".repeat(self.statement_bytes - insert.len());
+        for request in 0..OPEN_REQUESTS {
+            let id = format!("{:016x}", 0xbad0_0000 + connection * OPEN_REQUESTS + request);
+            client.send("load", &fields_of("load", &id, "30000"), &statement).unwrap();
+        }
+        // Ends when the test ends the gateway.
+        while let Ok((_, answer)) = client.answer() {
+            assert_eq!(answer, Answer::Error("Rejected".into(), Some("500".into())));
+            rejected.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Sends small requests one after the other; each must return its rows in time.
+fn look_up(gateway: &Gateway, count: usize) {
+    let mut client = gateway.client();
+    for n in 0..count {
+        let started = Instant::now();
+        let id = format!("{:016x}", 0x1000_0000 + n);
+        client.send("look", &fields(&id, "20000"), "select * from scores_17.matches").unwrap();
+        assert_eq!(client.answer().unwrap().1, rows("ok\n"), "look-up {n}");
+        assert!(started.elapsed() < USUAL_CLIENT_TIMEOUT, "look-up {n}: {:?}", started.elapsed());
+    }
+}
+
+fn assert_within_memory(gateway: &Gateway, memory_mb: usize, description: &str) {
+    let peak = gateway.peak_memory_bytes();
+    assert!(peak <= memory_mb << 20, "{description}: {} KiB of {} KiB", peak >> 10, memory_mb << 10);
+}
+
+/// Guards against statements of requests in flight that together exceed the machine's memory: requests were bounded by
+/// their number alone, and the platform killed the gateway.
+#[test]
+fn statements_in_flight_stay_within_the_memory_and_others_are_served() {
+    let case =
+        |memory_mb, connections, statement_bytes| (memory_mb, LoadFlood { connections, statement_bytes });
+    for (memory_mb, flood) in
+        [case(32, 24, 120_000), case(64, 24, 120_000), case(64, 96, 20_000), case(192, 64, 120_000)]
+    {
+        let description = format!("{memory_mb} MB, {} bytes", flood.statement_bytes);
+        let engine = engine();
+        let gateway = start_gateway(memory_mb, &engine);
+        let rejected = flood.start(gateway.address);
+        look_up(&gateway, 20);
+        let admitted_at_most = (memory_mb << 20) / flood.statement_bytes;
+        wait_for("the answers of all loads that do not fit", || {
+            (rejected.load(Ordering::Relaxed) + admitted_at_most >= flood.requests()).then_some(())
+        });
+        look_up(&gateway, 5);
+        assert_within_memory(&gateway, memory_mb, &description);
+    }
+}
--- a/crates/gateway/tests/gateway/sockets/mod.rs
+++ b/crates/gateway/tests/gateway/sockets/mod.rs
@@ -5,6 +5,7 @@
 mod key_order;
 mod limits;
 mod malformed;
+mod memory;
 mod restarts;
 
 use larchfall_stub::client::Answer;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod idempotency;
 pub mod key_order;
 mod load_report;
+pub mod memory_budget;
 mod memory_grant;
 mod outlier_detection;
 pub mod policy;
