Guarantee each connection a share of the request memory, and bound what is beyond

Callers would have seen: look-ups rejected beside connections that hold much for long.

Change: half of the memory is divided into equal shares, at least a request and its input; up to its share a connection is admitted whatever others hold. Beyond the shares, the other half goes by dynamic threshold. The fixed part of a request is 16 KiB: 10 KiB were measured, and the buffer of its engine connection.

--- a/crates/gateway/src/startup/mod.rs
+++ b/crates/gateway/src/startup/mod.rs
@@ -109,7 +109,7 @@
 ) {
     let address = listener.local_addr().unwrap_or(configured_address.into());
     info!(state.log, "listening"; "clients" => state.limits.client_connections, "engine_connections" => state.limits.engine_connections,
-        "requests" => state.limits.max_requests(), "address" => address.to_string());
+        "requests" => state.limits.requests, "address" => address.to_string());
     if let Some(paged_rest) = paged_rest {
         paged_rest.log_address(&state.log);
     }
--- a/crates/gateway/src/startup/state.rs
+++ b/crates/gateway/src/startup/state.rs
@@ -54,7 +54,7 @@
         counters: Counters::new(transport_settings.classes.len()),
         settings: transport_settings,
         limits,
-        request_memory: MemoryPool::new(limits.request_bytes),
+        request_memory: MemoryPool::new(limits.request_memory),
         policy: PolicyHandle::new(policy, clock, timers.clone()),
         timers,
         client_connections: ClientConnections::new(limits.unsent_bytes),
--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -1,5 +1,7 @@
 //! Limits of the transport, computed once at startup from the machine's memory and file descriptors.
 
+use larchfall_policy::memory_budget::MemoryBudget;
+
 /// Fraction of the descriptors for client connections. Clients hold at most a third of the descriptors; the rest covers
 /// new connections that are accepted while old ones are still closing.
 const CLIENT_DESCRIPTOR_FRACTION: Fraction = Fraction { numerator: 2, denominator: 5 };
@@ -10,11 +12,14 @@
 const OTHER_DESCRIPTORS: usize = 24;
 /// Divisor of the machine's memory that gives the memory for unsent responses.
 const RESPONSE_MEMORY_DIVISOR: usize = 4;
-/// Divisor of the machine's memory that gives the memory for requests in flight.
+/// Divisor of the machine's memory that gives the memory for input of clients and requests in flight.
 const REQUEST_MEMORY_DIVISOR: usize = 3;
 /// Memory of a request in flight in bytes, without its statement: the part of its coroutine's stack that is touched,
 /// its records, and the input buffer of its engine connection.
-pub const BYTES_PER_REQUEST: usize = 24 * 1024;
+pub const BYTES_PER_REQUEST: usize = 16 * 1024;
+/// Smallest share of the memory for requests that a client connection is guaranteed, in bytes: one request with a short
+/// statement, and the buffer from which it is read.
+const MIN_REQUEST_SHARE_BYTES: usize = BYTES_PER_REQUEST + 8 * 1024;
 
 struct Fraction {
     numerator: usize,
@@ -34,8 +39,10 @@
     pub client_connections: usize,
     /// Maximum number of open connections to engines.
     pub engine_connections: usize,
-    /// Memory for requests in flight, in bytes, over all clients.
-    pub request_bytes: usize,
+    /// Memory for the input and the requests in flight of all clients.
+    pub request_memory: MemoryBudget,
+    /// Number of requests without a statement that `request_memory` allows.
+    pub requests: usize,
     /// Maximum size of responses not yet sent, in bytes, over all clients.
     pub unsent_bytes: usize,
 }
@@ -46,22 +53,19 @@
     pub fn new(memory_mb: usize, max_descriptors: usize) -> Option<Limits> {
         let descriptors = max_descriptors.checked_sub(OTHER_DESCRIPTORS)?;
         let memory = memory_mb << 20;
+        let client_connections = CLIENT_DESCRIPTOR_FRACTION.of(descriptors);
+        let request_bytes = memory / REQUEST_MEMORY_DIVISOR;
         let limits = Limits {
-            client_connections: CLIENT_DESCRIPTOR_FRACTION.of(descriptors),
+            client_connections,
             engine_connections: ENGINE_DESCRIPTOR_FRACTION.of(descriptors),
-            request_bytes: memory / REQUEST_MEMORY_DIVISOR,
+            request_memory: MemoryBudget::new(request_bytes, client_connections, MIN_REQUEST_SHARE_BYTES),
+            requests: request_bytes / BYTES_PER_REQUEST,
             unsent_bytes: memory / RESPONSE_MEMORY_DIVISOR,
         };
-        let is_usable =
-            limits.client_connections > 0 && limits.engine_connections > 0 && limits.max_requests() > 0;
+        let is_usable = limits.client_connections > 0 && limits.engine_connections > 0 && limits.requests > 0;
         is_usable.then_some(limits)
     }
 
-    /// Number of requests without a statement that the memory for requests in flight allows.
-    pub fn max_requests(&self) -> usize {
-        self.request_bytes / BYTES_PER_REQUEST
-    }
-
     /// Reserves `reserved` client connections for another protocol; returns `None` if no client connections remain.
     pub fn reserve_client_connections(self, reserved: usize) -> Option<Limits> {
         let remaining = self.client_connections.checked_sub(reserved).filter(|remaining| *remaining > 0)?;
--- a/crates/gateway/src/state/memory.rs
+++ b/crates/gateway/src/state/memory.rs
@@ -62,8 +62,6 @@
 
 impl PoolUsage {
     fn change(&mut self, purpose: Purpose, from: usize, to: usize) {
-        self.budget.release(from);
-        self.budget.hold(to);
         let usage = &mut self.by_purpose[purpose as usize];
         usage.held_bytes = usage.held_bytes + to - from;
         usage.max_held_bytes = usage.max_held_bytes.max(usage.held_bytes);
@@ -71,10 +69,9 @@
 }
 
 impl MemoryPool {
-    /// Creates a pool of `max_bytes`.
-    pub fn new(max_bytes: usize) -> Arc<MemoryPool> {
-        let usage = PoolUsage { budget: MemoryBudget::new(max_bytes), by_purpose: Default::default() };
-        Arc::new(MemoryPool { usage: Mutex::new(usage) })
+    /// Creates a pool with this budget.
+    pub fn new(budget: MemoryBudget) -> Arc<MemoryPool> {
+        Arc::new(MemoryPool { usage: Mutex::new(PoolUsage { budget, by_purpose: Default::default() }) })
     }
 
     /// Opens an account that holds nothing. The account ends with its last reservation.
@@ -126,9 +123,11 @@
     }
 
     fn change(&self, usage: &mut PoolUsage, purpose: Purpose, from: usize, to: usize) {
+        let held_before = self.held.load(Ordering::Relaxed);
+        let held_after = held_before + to - from;
+        self.held.store(held_after, Ordering::Relaxed);
+        usage.budget.change_account(held_before, held_after);
         usage.change(purpose, from, to);
-        let held = self.held.load(Ordering::Relaxed);
-        self.held.store(held + to - from, Ordering::Relaxed);
     }
 }
 
--- a/crates/policy/src/memory_budget.rs
+++ b/crates/policy/src/memory_budget.rs
@@ -1,41 +1,57 @@
-//! Shares a memory budget between accounts by dynamic thresholds (Choudhury and Hahne, "Dynamic queue length thresholds
-//! for shared-memory packet switches", 1998): an account may hold at most as many bytes as remain free for all accounts.
+//! Shares a memory budget between accounts, of which any number may ask for more and more and release nothing for long.
 //!
-//! A single account can hold half of the budget, and `n` accounts that ask for more and more end with a share of
-//! `1 / (n + 1)` each. The same share stays free, so that an account with modest needs is admitted beside them.
+//! Half of the budget is divided into equal shares: up to its guaranteed share, an account is admitted whatever the
+//! others hold. What an account holds beyond its share is its excess. All excesses together are bounded by the other
+//! half of the budget, so that they never take a guaranteed share. Each account's excess is bounded by a dynamic
+//! threshold (Choudhury and Hahne, "Dynamic queue length thresholds for shared-memory packet switches", 1998): it may be
+//! at most as large as what all other excesses leave free.
 
-/// The bound of a budget, and the bytes that all its accounts hold together.
+/// Divisor of the budget that gives the bound of all excesses together.
+const EXCESS_DIVISOR: usize = 2;
+
+/// The bounds of a budget, and the bytes that its accounts hold together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryBudget {
     max_bytes: usize,
+    guaranteed_bytes: usize,
     held_bytes: usize,
+    excess_bytes: usize,
 }
 
 impl MemoryBudget {
-    /// Creates a budget of which nothing is held.
-    pub fn new(max_bytes: usize) -> MemoryBudget {
-        MemoryBudget { max_bytes, held_bytes: 0 }
+    /// Creates a budget of which nothing is held. `accounts` is the number of accounts that get a guaranteed share. The
+    /// share is at least `min_share_bytes`; where that is more than an equal part, accounts are served in the order in
+    /// which they ask.
+    pub fn new(max_bytes: usize, accounts: usize, min_share_bytes: usize) -> MemoryBudget {
+        let equal_share = (max_bytes - max_bytes / EXCESS_DIVISOR) / accounts.max(1);
+        let guaranteed_bytes = equal_share.max(min_share_bytes);
+        MemoryBudget { max_bytes, guaranteed_bytes, held_bytes: 0, excess_bytes: 0 }
     }
 
     /// Returns whether an account that holds `account_bytes` of this budget may hold `additional_bytes` more.
     pub fn admits(&self, account_bytes: usize, additional_bytes: usize) -> bool {
-        let held_after = self.held_bytes.saturating_add(additional_bytes);
-        let free_after = self.max_bytes.saturating_sub(held_after);
-        account_bytes.saturating_add(additional_bytes) <= free_after
-    }
-
-    /// Records that an account holds `bytes` more, whether or not the budget admits them.
-    pub fn hold(&mut self, bytes: usize) {
-        self.held_bytes = self.held_bytes.saturating_add(bytes);
+        let account_after = account_bytes.saturating_add(additional_bytes);
+        let excess_before = self.excess(account_bytes);
+        let excess_after = self.excess(account_after);
+        let all_excesses_after = self.excess_bytes.saturating_add(excess_after - excess_before);
+        let free_for_excess = (self.max_bytes / EXCESS_DIVISOR).saturating_sub(all_excesses_after);
+        self.held_bytes.saturating_add(additional_bytes) <= self.max_bytes
+            && (excess_after == 0 || excess_after <= free_for_excess)
     }
 
-    /// Records that an account no longer holds `bytes`.
-    pub fn release(&mut self, bytes: usize) {
-        self.held_bytes = self.held_bytes.saturating_sub(bytes);
+    /// Records that an account that held `from` bytes now holds `to` bytes, whether or not the budget admits them.
+    pub fn change_account(&mut self, from: usize, to: usize) {
+        self.held_bytes = (self.held_bytes - from).saturating_add(to);
+        self.excess_bytes = (self.excess_bytes - self.excess(from)).saturating_add(self.excess(to));
     }
 
     /// Bytes that all accounts hold together.
     pub fn held_bytes(&self) -> usize {
         self.held_bytes
     }
+
+    /// The part of an account's bytes beyond its guaranteed share.
+    fn excess(&self, account_bytes: usize) -> usize {
+        account_bytes.saturating_sub(self.guaranteed_bytes)
+    }
 }
