Bound half-read messages over all connections, and answer what is refused

Callers would have seen: a gateway over its memory and killed. Each connection may hold a message of 128 KiB that is not whole for 2 s, and nothing bounded the sum.

Change: a connection's input is held by the same account as its requests. Every connection may read 4 KiB; what the budget does not admit beyond is discarded as it comes, with only the message id kept, and the request gets `Rejected` with the longest retry-after once its last byte is in. A notification that is refused ends its connection like one that is too long.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -54,9 +54,9 @@
     DuplicateId,
 }
 
-/// Validates a client's request, which was sent at `sent_at`, and converts it to a request of the policy. Names that
-/// the settings do not know are refused here, because an engine would fail the query and the policy would count the
-/// failure against the engine.
+/// Validates a client's request, which was sent at `sent_at`, and converts it to a request of the policy whose data set
+/// is not known yet. Names that the settings do not know are refused here, because an engine would fail the query and
+/// the policy would count the failure against the engine.
 fn policy_request(
     state: &State,
     client_request: &ClientRequest,
@@ -88,7 +88,7 @@
         deadline: state.shutdown.deadline().map_or(deadline, |shutdown| deadline.min(shutdown)),
         work_hint: client_request.work_hint,
         memory_hint_mb: client_request.memory_hint_mb,
-        data_set: data_set(client_request.statement).unwrap_or(0),
+        data_set: 0,
     })
 }
 
@@ -109,6 +109,8 @@
     let memory = reserve_memory(account, client_request).inspect_err(|_| {
         state.counters.update_class(class, |counters| counters.rejected += 1);
     })?;
+    // Reading the statement is the most expensive step, so that only a request that fits gets there.
+    let request = Request { data_set: data_set(client_request.statement).unwrap_or(0), ..request };
     let index = state
         .policy
         .admit(client_request.id_number, request)
--- a/crates/gateway/src/client/message_pack/connection.rs
+++ b/crates/gateway/src/client/message_pack/connection.rs
@@ -11,7 +11,7 @@
 use may::io::WaitIo;
 use may::net::TcpStream;
 use slog::info;
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 
@@ -28,6 +28,10 @@
 /// Maximum time for which input is read and discarded on a connection that this gateway closes. Closing a socket with
 /// unread input resets the connection, and the reset would discard responses that the client has not yet received.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(50);
+/// Size of one read while a connection lingers.
+const DISCARD_CHUNK_BYTES: usize = 4 * 1024;
+/// Maximum number of reads between two sleeps while a connection lingers.
+const MAX_DISCARDED_CHUNKS: usize = 4;
 
 /// A client connection that is registered and counts as open.
 pub struct Connection {
@@ -82,17 +86,33 @@
     if stream.shutdown(Shutdown::Write).is_err() {
         return;
     }
-    while Inbox::default().read(stream).is_ok() && state.clock.now() < until {
+    while discard_input(stream).is_ok() && state.clock.now() < until {
         state.sleep(YIELD_SLEEP);
     }
 }
 
+/// Reads and discards input for as long as some is available, up to a limit. Returns an error once the client has
+/// closed the connection.
+fn discard_input(stream: &TcpStream) -> Result<(), CloseReason> {
+    let mut chunk = [0; DISCARD_CHUNK_BYTES];
+    for _ in 0..MAX_DISCARDED_CHUNKS {
+        let result = stream.inner().read(&mut chunk);
+        if matches!(result, Ok(0)) {
+            return Err(CloseReason::ClientClosed);
+        }
+        if transferred_bytes(result)? == 0 {
+            break;
+        }
+    }
+    Ok(())
+}
+
 /// The exchange of messages and responses on one connection.
 struct MessageExchange<'a> {
     state: &'a Arc<State>,
     stream: &'a TcpStream,
     writer: &'a Arc<ResponseWriter>,
-    /// Account for the memory of the connection's requests.
+    /// Account for the memory of the connection's input and requests.
     account: Arc<MemoryAccount>,
     inbox: Inbox,
     queued_since: Option<Timestamp>,
@@ -112,12 +132,13 @@
         writer: &'a Arc<ResponseWriter>,
         queued_since: Option<Timestamp>,
     ) -> MessageExchange<'a> {
+        let account = state.request_memory.account();
         MessageExchange {
             state,
             stream,
             writer,
-            account: state.request_memory.account(),
-            inbox: Inbox::default(),
+            inbox: Inbox::new(&account),
+            account,
             queued_since,
             protocol_error: None,
             waiting_since: Timestamp::default(),
@@ -141,7 +162,7 @@
         let read = if is_backlogged { 0 } else { self.read()? };
         let has_input = !is_backlogged && (read > 0 || self.inbox.may_hold_more());
         if self.protocol_error.is_some() {
-            self.inbox = Inbox::default();
+            self.inbox = Inbox::new(&self.account);
         } else if has_input {
             self.protocol_error =
                 requests::handle_messages(self.state, self.writer, &self.account, &mut self.inbox).err();
--- a/crates/gateway/src/client/message_pack/inbox.rs
+++ b/crates/gateway/src/client/message_pack/inbox.rs
@@ -1,11 +1,15 @@
-//! Input buffer of a connection: bytes that were read and not yet handled.
+//! Input buffer of a connection: bytes that were read and not yet handled. A request that the memory budget does not
+//! admit is discarded as it arrives; only its message id is kept for the response.
 
 use super::connection::transferred_bytes;
 use crate::client::CloseReason;
 use crate::codec::message_pack::{self, FrameScanner, Message, MessageError};
+use crate::state::budgeted_buffer::BudgetedBuffer;
+use crate::state::memory::{MemoryAccount, Purpose};
 use larchfall_policy::time::Timestamp;
 use may::net::TcpStream;
 use std::io::Read;
+use std::sync::Arc;
 
 /// Size of one read, and the number of bytes handled before other coroutines run. The read buffer is on the stack, so
 /// an idle connection keeps no buffer.
@@ -15,9 +19,8 @@
 const READ_AHEAD_BYTES: usize = 16 * 1024;
 
 /// Input buffer with the position of the scan for the next message.
-#[derive(Default)]
 pub(super) struct Inbox {
-    bytes: Vec<u8>,
+    bytes: BudgetedBuffer,
     scanner: FrameScanner,
     /// Earliest time at which the first byte of the next message may have been sent.
     message_send_time: Timestamp,
@@ -25,11 +28,26 @@
     last_send_time: Timestamp,
     /// Whether more complete messages may be buffered: only `CHUNK_BYTES` are handled before other coroutines run.
     may_hold_more: bool,
+    /// The message that is being received and discarded, because the memory budget does not admit it.
+    refused: Option<RefusedMessage>,
+}
+
+/// A message of which the memory budget did not admit the beginning.
+#[derive(Clone, Copy)]
+struct RefusedMessage {
+    /// Id of the message; `None` if the message is no request.
+    message_id: Option<u32>,
+}
+
+/// A request that was received completely and not kept, because the memory budget did not admit it.
+pub(super) struct OverMemoryBudget {
+    /// Id of the message, which awaits a response.
+    pub(super) message_id: u32,
 }
 
 /// A complete message that was received.
 pub(super) struct ReceivedMessage<'a> {
-    pub(super) message: Message<'a>,
+    pub(super) message: Result<Message<'a>, OverMemoryBudget>,
     /// Length of the message in bytes.
     pub(super) length: usize,
     /// Earliest time at which the first byte may have been sent. The request's timeout starts then.
@@ -37,9 +55,21 @@
 }
 
 impl Inbox {
-    /// Whether no input is buffered, not even part of a message.
+    /// Creates an empty buffer whose memory `account` holds.
+    pub(super) fn new(account: &Arc<MemoryAccount>) -> Inbox {
+        Inbox {
+            bytes: BudgetedBuffer::new(account.empty_reservation(Purpose::ClientInput)),
+            scanner: FrameScanner::default(),
+            message_send_time: Timestamp::default(),
+            last_send_time: Timestamp::default(),
+            may_hold_more: false,
+            refused: None,
+        }
+    }
+
+    /// Whether no input is buffered and no message has begun.
     pub(super) fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.bytes.is_empty() && self.refused.is_none()
     }
 
     pub(super) fn may_hold_more(&self) -> bool {
@@ -52,13 +82,22 @@
         let mut total = 0;
         // Reads beyond the limit while no complete message may be buffered: a message may be longer than the limit.
         while total < READ_AHEAD_BYTES && (self.bytes.len() < READ_AHEAD_BYTES || !self.may_hold_more) {
+            let room = self.make_room();
+            if room == 0 {
+                let is_scanned = total == 0 && !self.may_hold_more;
+                if !is_scanned {
+                    break;
+                }
+                self.refuse_message();
+                continue;
+            }
             let mut chunk = [0; CHUNK_BYTES];
-            let result = stream.inner().read(&mut chunk);
+            let result = stream.inner().read(&mut chunk[..room]);
             if matches!(result, Ok(0)) {
                 return Err(CloseReason::ClientClosed);
             }
             let count = transferred_bytes(result)?;
-            self.bytes.extend_from_slice(&chunk[..count]);
+            self.bytes.append_with(|bytes| bytes.extend_from_slice(&chunk[..count]));
             total += count;
             if count == 0 {
                 break;
@@ -67,6 +106,28 @@
         Ok(total)
     }
 
+    /// Makes room for the next read and returns its size. Every connection has room for one chunk. More has to be
+    /// admitted by the memory budget; returns 0 if it is not.
+    fn make_room(&mut self) -> usize {
+        if self.bytes.try_reserve(CHUNK_BYTES).is_ok() {
+            return CHUNK_BYTES;
+        }
+        let room = CHUNK_BYTES.saturating_sub(self.bytes.len());
+        self.bytes.reserve(room);
+        room
+    }
+
+    /// Begins to discard the message of which all buffered bytes are a part.
+    fn refuse_message(&mut self) {
+        self.refused = Some(RefusedMessage { message_id: message_pack::request_message_id(&self.bytes) });
+        self.discard_scanned();
+    }
+
+    fn discard_scanned(&mut self) {
+        let discarded = self.scanner.discard(&self.bytes);
+        self.bytes.remove_front(discarded);
+    }
+
     /// Records the earliest time at which the bytes just read may have been sent, and whether a message starts with
     /// them.
     pub(super) fn record_send_time(&mut self, sent: Timestamp, starts_message: bool) {
@@ -83,22 +144,35 @@
         if self.may_hold_more {
             return Ok(None);
         }
-        let rest = &self.bytes[handled..];
-        let complete = self.scanner.complete_length(rest).map_err(CloseReason::MalformedMessage)?;
-        let Some(length) = complete else { return Ok(None) };
+        let complete = self.scanner.complete_length(&self.bytes[handled..]);
+        let Some(length) = complete.map_err(CloseReason::MalformedMessage)? else {
+            if self.refused.is_some() {
+                self.discard_scanned();
+            }
+            return Ok(None);
+        };
         self.scanner = FrameScanner::default();
         let sent = std::mem::replace(&mut self.message_send_time, self.last_send_time);
-        match message_pack::decode(&rest[..length]).map_err(CloseReason::MalformedMessage)? {
-            Some(decoded) => Ok(Some(ReceivedMessage { message: decoded.value, length, sent })),
-            None => Err(CloseReason::MalformedMessage(MessageError::NotMessagePack)),
-        }
+        let message = match self.refused.take() {
+            None => Ok(decode_complete(&self.bytes[handled..handled + length])?),
+            // No response is due, so that closing the connection is the only way to tell the client.
+            Some(RefusedMessage { message_id: None }) => {
+                return Err(CloseReason::MalformedMessage(MessageError::TooLong));
+            }
+            Some(RefusedMessage { message_id: Some(message_id) }) => Err(OverMemoryBudget { message_id }),
+        };
+        Ok(Some(ReceivedMessage { message, length, sent }))
     }
 
     /// Removes the first `handled` bytes. Frees the buffer when it is empty.
     pub(super) fn remove_handled(&mut self, handled: usize) {
-        self.bytes.drain(..handled);
-        if self.bytes.is_empty() {
-            self.bytes = Vec::new();
-        }
+        self.bytes.remove_front(handled);
+    }
+}
+
+fn decode_complete(bytes: &[u8]) -> Result<Message<'_>, CloseReason> {
+    match message_pack::decode(bytes).map_err(CloseReason::MalformedMessage)? {
+        Some(decoded) => Ok(decoded.value),
+        None => Err(CloseReason::MalformedMessage(MessageError::NotMessagePack)),
     }
 }
--- a/crates/gateway/src/client/message_pack/requests.rs
+++ b/crates/gateway/src/client/message_pack/requests.rs
@@ -1,6 +1,6 @@
 //! Handles messages of clients: admits requests, cancels aborted ones, and responds to all other messages at once.
 
-use super::inbox::{Inbox, ReceivedMessage};
+use super::inbox::{Inbox, OverMemoryBudget, ReceivedMessage};
 use crate::admission::{self, RequestError};
 use crate::client::CloseReason;
 use crate::codec::client_request::ClientRequest;
@@ -22,6 +22,14 @@
     let mut handled = 0;
     while let Some(ReceivedMessage { message, length, sent }) = inbox.next(handled)? {
         handled += length;
+        let message = match message {
+            Ok(message) => message,
+            Err(OverMemoryBudget { message_id }) => {
+                register_message_id(writer, message_id)?;
+                reject_over_limits(state, writer, message_id);
+                continue;
+            }
+        };
         match message {
             Message::Ping { message_id } => {
                 register_message_id(writer, message_id)?;
--- a/crates/gateway/src/codec/message_pack/decode.rs
+++ b/crates/gateway/src/codec/message_pack/decode.rs
@@ -3,6 +3,7 @@
 use super::{MAX_MESSAGE_BYTES, MessageError};
 use crate::codec::Decoded;
 use crate::codec::client_request::{self, ClientRequest};
+use rmp::decode::{read_array_len, read_int};
 use rmpv::ValueRef;
 use rmpv::decode::read_value_ref_with_max_depth;
 use std::io::ErrorKind;
@@ -86,6 +87,14 @@
     decode_message(&value).map(|value| Some(Decoded { value, length }))
 }
 
+/// Returns the message id of a request from the first bytes of the message; `None` if the message is no request.
+pub fn request_message_id(mut first_bytes: &[u8]) -> Option<u32> {
+    read_array_len(&mut first_bytes).ok()?;
+    let message_type: u64 = read_int(&mut first_bytes).ok()?;
+    let message_id = read_int(&mut first_bytes).ok()?;
+    (message_type == 0).then_some(message_id)
+}
+
 fn decode_message_id(value: &ValueRef) -> Result<u32, MessageError> {
     value.as_u64().and_then(|n| u32::try_from(n).ok()).ok_or(MessageError::InvalidMessageId)
 }
--- a/crates/gateway/src/codec/message_pack/framing.rs
+++ b/crates/gateway/src/codec/message_pack/framing.rs
@@ -11,8 +11,12 @@
 /// arrives in pieces is linear in its length and not quadratic.
 #[derive(Debug, Default)]
 pub struct FrameScanner {
-    /// Number of bytes scanned.
+    /// Number of bytes of the message that were discarded before its end was known.
+    discarded: usize,
+    /// Number of bytes scanned after the discarded ones.
     scanned: usize,
+    /// Number of bytes still expected of a value of which the beginning was discarded.
+    discarded_value_rest: usize,
     /// Number of values still expected in each open array or map, outermost first.
     remaining_values: Vec<usize>,
 }
@@ -38,15 +42,26 @@
 }
 
 impl FrameScanner {
-    /// Returns the length of the first message once the message is complete. `bytes` must start with the bytes of the
-    /// previous call.
+    /// Returns the length of the first message, without its discarded bytes, once the message is complete. `bytes` must
+    /// start with the bytes of the previous call that were not discarded.
     pub fn complete_length(&mut self, bytes: &[u8]) -> Result<Option<usize>, MessageError> {
+        if self.discarded_value_rest > 0 {
+            let received = self.discarded_value_rest.min(bytes.len());
+            self.discarded_value_rest -= received;
+            self.scanned = received;
+            if self.discarded_value_rest > 0 {
+                return Ok(None);
+            }
+            if self.end_value() {
+                return Ok(Some(self.scanned));
+            }
+        }
         loop {
             let rest = &bytes[self.scanned..];
             let Some(marker) = rest.first().map(|byte| Marker::from_u8(*byte)) else { return Ok(None) };
             let Some(ValueSize { header, body, items }) = value_size(marker, rest)? else { return Ok(None) };
             let end = self.scanned.saturating_add(header).saturating_add(body);
-            if end > MAX_MESSAGE_BYTES || items > MAX_MESSAGE_BYTES {
+            if self.discarded.saturating_add(end) > MAX_MESSAGE_BYTES || items > MAX_MESSAGE_BYTES {
                 return Err(MessageError::TooLong);
             }
             if end > bytes.len() {
@@ -64,6 +79,24 @@
         }
     }
 
+    /// Discards the received bytes of a message whose end `complete_length` has not found in them. Returns how many
+    /// bytes to remove from the front; those that remain belong to the header of a value.
+    pub fn discard(&mut self, bytes: &[u8]) -> usize {
+        let value = &bytes[self.scanned..];
+        let size = value.first().and_then(|byte| value_size(Marker::from_u8(*byte), value).ok().flatten());
+        let discarded = match size {
+            Some(ValueSize { header, body, .. }) => {
+                self.discarded_value_rest = header + body - value.len();
+                bytes.len()
+            }
+            None if self.discarded_value_rest > 0 => bytes.len(),
+            None => self.scanned,
+        };
+        self.discarded += discarded;
+        self.scanned = 0;
+        discarded
+    }
+
     /// Counts a complete value, and the arrays and maps that end with it. Returns true if the message is complete.
     fn end_value(&mut self) -> bool {
         while let Some(remaining) = self.remaining_values.last_mut() {
--- a/crates/gateway/src/codec/message_pack/mod.rs
+++ b/crates/gateway/src/codec/message_pack/mod.rs
@@ -5,7 +5,7 @@
 mod encode;
 mod framing;
 
-pub use decode::{Message, RequestDecodeError, decode};
+pub use decode::{Message, RequestDecodeError, decode, request_message_id};
 pub use encode::{Response, encode};
 pub use framing::FrameScanner;
 
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -3,6 +3,7 @@
 //! Each submodule owns its data: data that coroutines share is behind a mutex private to the submodule. Only
 //! `PolicyHandle` calls the policy.
 
+pub mod budgeted_buffer;
 pub mod client_connections;
 pub mod clock;
 pub mod connection_permits;
--- a/crates/gateway/tests/gateway/sockets/memory.rs
+++ b/crates/gateway/tests/gateway/sockets/memory.rs
@@ -1,10 +1,11 @@
 //! The memory of the whole process while clients send more than fits, and other clients beside them.
 
-use super::{FOREVER, NOW, fields, fields_of, pages, rows};
+use super::{FOREVER, NOW, engine, fields, fields_of, pages, rows};
 use crate::common::{Gateway, config, wait_for};
-use larchfall_stub::client::{Answer, Client};
+use larchfall_stub::client::{Answer, Client, request};
 use larchfall_stub::discovery::Discovery;
 use larchfall_stub::engine::{Engine, EngineBehavior};
+use rmpv::encode::write_value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,8 +18,13 @@
 /// Time within which a client that keeps its requests small has its answer beside all others.
 const USUAL_CLIENT_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// The answer to a request that the memory budget does not admit.
+fn rejection() -> Answer {
+    Answer::Error("Rejected".into(), Some("500".into()))
+}
+
 /// An engine that runs loads without end and everything else at once.
-fn engine() -> Engine {
+fn engine_of_endless_loads() -> Engine {
     Engine::start("127.0.0.1:0", |call| {
         let duration = if call.statement.starts_with(b"insert") { FOREVER } else { NOW };
         EngineBehavior::Serve(duration, pages(&["ok\n"]))
@@ -58,20 +64,34 @@
 
     fn send_and_read(self, gateway: SocketAddr, connection: usize, rejected: &AtomicUsize) {
         let mut client = Client::connect(gateway).unwrap();
-        let insert = "insert into feed_3.events values (1)";
-        let statement = insert.to_owned() + &" ".repeat(self.statement_bytes - insert.len());
+        let statement = insert(self.statement_bytes);
         for request in 0..OPEN_REQUESTS {
             let id = format!("{:016x}", 0xbad0_0000 + connection * OPEN_REQUESTS + request);
             client.send("load", &fields_of("load", &id, "30000"), &statement).unwrap();
         }
         // Ends when the test ends the gateway.
         while let Ok((_, answer)) = client.answer() {
-            assert_eq!(answer, Answer::Error("Rejected".into(), Some("500".into())));
+            assert_eq!(answer, rejection());
             rejected.fetch_add(1, Ordering::Relaxed);
         }
     }
 }
 
+/// Encodes a load of this connection that is its request number `message_id`.
+fn encoded_load(message_id: u32, connection: usize, statement_bytes: usize) -> Vec<u8> {
+    let id = format!("{:016x}", 0xbad0_0000 + connection);
+    let mut bytes = Vec::new();
+    let request = request(message_id, "load", &fields_of("load", &id, "30000"), &insert(statement_bytes));
+    write_value(&mut bytes, &request).unwrap();
+    bytes
+}
+
+/// A statement of this size that inserts a row.
+fn insert(statement_bytes: usize) -> String {
+    let insert = "insert into feed_3.events values (1)";
+    insert.to_owned() + &" ".repeat(statement_bytes - insert.len())
+}
+
 /// Sends small requests one after the other; each must return its rows in time.
 fn look_up(gateway: &Gateway, count: usize) {
     let mut client = gateway.client();
@@ -99,7 +119,7 @@
         [case(32, 24, 120_000), case(64, 24, 120_000), case(64, 96, 20_000), case(192, 64, 120_000)]
     {
         let description = format!("{memory_mb} MB, {} bytes", flood.statement_bytes);
-        let engine = engine();
+        let engine = engine_of_endless_loads();
         let gateway = start_gateway(memory_mb, &engine);
         let rejected = flood.start(gateway.address);
         look_up(&gateway, 20);
@@ -111,3 +131,34 @@
         assert_within_memory(&gateway, memory_mb, &description);
     }
 }
+
+/// Guards against messages of which a part has come: each connection could hold 128 KiB for 2 s, over all connections
+/// more than the machine's memory. What is refused has its answer once it has come whole.
+#[test]
+fn half_read_messages_stay_within_the_memory_and_are_answered_once_whole() {
+    const CONNECTIONS: usize = 320;
+    const STATEMENT_BYTES: usize = 130_000;
+    for memory_mb in [32, 64] {
+        let engine = engine(EngineBehavior::Serve(NOW, pages(&["ok\n"])));
+        let gateway = start_gateway(memory_mb, &engine);
+        let mut clients: Vec<(Client, u8)> = (0..CONNECTIONS)
+            .map(|connection| {
+                let mut client = gateway.client();
+                let load = encoded_load(1, connection, STATEMENT_BYTES);
+                let (last, rest) = load.split_last().unwrap();
+                client.raw(rest).unwrap();
+                (client, *last)
+            })
+            .collect();
+        look_up(&gateway, 5);
+        // The earliest connections end after the time limit of an incomplete message; the last ones are still open.
+        let answers = clients.iter_mut().rev().take(20).map(|(client, last)| {
+            client.raw(&[*last]).unwrap();
+            client.answer().unwrap().1
+        });
+        let refused = answers.filter(|answer| *answer != rows("ok\n")).collect::<Vec<Answer>>();
+        assert!(!refused.is_empty(), "{memory_mb} MB: no load was refused");
+        assert!(refused.iter().all(|answer| *answer == rejection()), "{memory_mb} MB: {refused:?}");
+        assert_within_memory(&gateway, memory_mb, &format!("{memory_mb} MB"));
+    }
+}
