Bound results and unsent responses by connection; stop reading who reads no response

Callers would have seen: a gateway over its memory, and errors in place of every result.

Cause: short responses were added whatever was unsent, up to 2 MiB a connection before it is read no further, and once the sum passed the bound every client's result was replaced by an error. Rows of results that are being read were not counted at all, and what a closed connection had unsent stayed as long as any of its requests.

Change: rows and unsent responses of a connection are held by one account in a second pool (a quarter of the memory, as the bound on unsent bytes was), with the same rule. Rows that are not admitted end their request with an error at once, so that the engine is free again; the engine is not blamed. A connection with unsent responses is not read while the budget admits no further one. A closed connection frees what it had not sent.

Test: a_connection_is_not_read_once_its_unsent_responses_reach_the_memory_budget.

--- a/crates/gateway/src/client/message_pack/connection.rs
+++ b/crates/gateway/src/client/message_pack/connection.rs
@@ -69,6 +69,7 @@
     for request in writer.cancel_all() {
         state.policy.record_disconnection(request);
     }
+    writer.discard_unsent();
     // A client that sent no complete message has no response outstanding.
     if !reason.is_by_client() && writer.has_sent_message() {
         linger(state, &stream);
--- a/crates/gateway/src/client/message_pack/inbox.rs
+++ b/crates/gateway/src/client/message_pack/inbox.rs
@@ -164,6 +164,11 @@
         Ok(Some(ReceivedMessage { message, length, sent }))
     }
 
+    /// Records that more complete messages may be buffered although `next` was not called until it returned `None`.
+    pub(super) fn pause(&mut self) {
+        self.may_hold_more = true;
+    }
+
     /// Removes the first `handled` bytes. Frees the buffer when it is empty.
     pub(super) fn remove_handled(&mut self, handled: usize) {
         self.bytes.remove_front(handled);
--- a/crates/gateway/src/client/message_pack/requests.rs
+++ b/crates/gateway/src/client/message_pack/requests.rs
@@ -6,7 +6,8 @@
 use crate::codec::client_request::ClientRequest;
 use crate::codec::message_pack::{Message, Response};
 use crate::request_context::{FinalAnswer, ResultReader};
-use crate::state::memory::MemoryAccount;
+use crate::state::budgeted_buffer::BudgetedBuffer;
+use crate::state::memory::{BudgetExceeded, MemoryAccount};
 use crate::state::response_writer::{MessageIdCheck, ResponseWriter};
 use crate::state::{State, lock};
 use larchfall_policy::time::Timestamp;
@@ -54,6 +55,10 @@
                 }
             }
         }
+        if writer.is_backlogged() {
+            inbox.pause();
+            break;
+        }
     }
     inbox.remove_handled(handled);
     writer.record_read(handled > 0, !inbox.is_empty(), state.clock.now());
@@ -80,7 +85,7 @@
 ) {
     let admitted = admission::admit(state, account, request, sent, |index| {
         writer.open_request(message_id, index);
-        Arc::new(BufferedResult { writer: writer.clone(), message_id, rows: Mutex::default() })
+        Arc::new(BufferedResult { writer: writer.clone(), message_id, rows: Mutex::new(writer.row_buffer()) })
     });
     match admitted {
         Ok(()) => {}
@@ -102,7 +107,7 @@
 struct BufferedResult {
     writer: Arc<ResponseWriter>,
     message_id: u32,
-    rows: Mutex<Vec<u8>>,
+    rows: Mutex<BudgetedBuffer>,
 }
 
 impl ResultReader for BufferedResult {
@@ -110,22 +115,20 @@
         true
     }
 
-    fn push_rows(&self, mut rows: Vec<u8>) {
+    fn push_rows(&self, rows: Vec<u8>) -> Result<(), BudgetExceeded> {
         let mut all = lock(&self.rows);
-        if all.is_empty() {
-            *all = rows;
-        } else {
-            all.append(&mut rows);
-        }
+        all.try_reserve(rows.len())?;
+        all.append_with(|all| all.extend_from_slice(&rows));
+        Ok(())
     }
 
     fn restart(&self) -> bool {
-        *lock(&self.rows) = Vec::new();
+        lock(&self.rows).clear();
         true
     }
 
     fn finish(&self, answer: FinalAnswer) -> bool {
-        let rows = std::mem::take(&mut *lock(&self.rows));
+        let rows = lock(&self.rows).take();
         let response = match answer {
             FinalAnswer::Returned => Response::Returned(&rows),
             FinalAnswer::Rejected(retry_after) => Response::Rejected(retry_after),
--- a/crates/gateway/src/client/paged_rest/result_reader.rs
+++ b/crates/gateway/src/client/paged_rest/result_reader.rs
@@ -2,6 +2,7 @@
 
 use super::service::RestService;
 use crate::request_context::{FinalAnswer, ResultReader};
+use crate::state::memory::BudgetExceeded;
 use crate::state::{State, lock};
 use larchfall_paged_rest::cursor::ResultEnd;
 use larchfall_paged_rest::document::{PageContent, QueryError};
@@ -43,10 +44,11 @@
         self.service.pages.has_capacity(self.id)
     }
 
-    fn push_rows(&self, rows: Vec<u8>) {
+    fn push_rows(&self, rows: Vec<u8>) -> Result<(), BudgetExceeded> {
         if let Some(previous) = lock(&self.pending_rows).replace(rows) {
             self.service.pages.push(self.id, self.page(previous, None), None);
         }
+        Ok(())
     }
 
     fn restart(&self) -> bool {
--- a/crates/gateway/src/engine/result_pages.rs
+++ b/crates/gateway/src/engine/result_pages.rs
@@ -29,7 +29,9 @@
             return self.abandon_result(connection, Outcome::Errored, load_report);
         }
         let mut connection = keep_if_reusable(connection, first_reply.closes_connection);
-        self.context.reader.push_rows(first_reply.body);
+        if self.context.reader.push_rows(first_reply.body).is_err() {
+            return self.refuse_rows(connection, load_report);
+        }
         for number in 1..pages {
             if let Some(outcome) = self.wait_for_reader(&mut connection) {
                 return self.abandon_result(connection, outcome, load_report);
@@ -40,7 +42,9 @@
                 warn!(self.state.log, "result page lost"; "id" => &self.context.id, "page" => number, "late" => is_late);
                 return self.abandon_result(connection, outcome, load_report);
             };
-            self.context.reader.push_rows(page);
+            if self.context.reader.push_rows(page).is_err() {
+                return self.refuse_rows(connection, load_report);
+            }
         }
         self.return_connection(connection);
         // The complete result proves that the statement has ended, whichever connection carried the last page.
@@ -48,6 +52,13 @@
         AttemptEnd { load_report, ..self.finish(LastObservation::Ended, Outcome::Returned) }
     }
 
+    /// Ends an attempt whose rows the memory budget does not admit. Waiting for memory would keep the statement running
+    /// on the engine for a client that may never read its responses, so the request ends with an error.
+    fn refuse_rows(&self, connection: Option<Connection>, load_report: LoadReport) -> AttemptEnd {
+        let end = self.abandon_result(connection, Outcome::Cancelled, load_report);
+        AttemptEnd { is_truncated: true, ..end }
+    }
+
     /// Waits until the result reader has room, and polls the engine meanwhile. Returns an outcome if the attempt ends
     /// during the wait.
     fn wait_for_reader(&self, connection: &mut Option<Connection>) -> Option<Outcome> {
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -1,7 +1,7 @@
 //! Protocol-independent view of a client's request: the data sent to engines, the reader of the result, and the final
 //! answer.
 
-use crate::state::memory::Reservation;
+use crate::state::memory::{BudgetExceeded, Reservation};
 use larchfall_policy::time::{Duration, Timestamp};
 use std::sync::Arc;
 
@@ -51,8 +51,9 @@
 pub trait ResultReader: Send + Sync {
     /// Returns whether the reader can take more rows now.
     fn has_capacity(&self) -> bool;
-    /// Passes complete rows as text, with tabs between columns and a line feed after each row.
-    fn push_rows(&self, rows: Vec<u8>);
+    /// Passes complete rows as text, with tabs between columns and a line feed after each row. Fails if the memory budget
+    /// does not admit them; the request then ends with an error.
+    fn push_rows(&self, rows: Vec<u8>) -> Result<(), BudgetExceeded>;
     /// Discards the rows received so far after the engine lost the rest of the result, so that all rows can be passed
     /// again. Returns false if the client has already received rows, which can't be taken back.
     fn restart(&self) -> bool;
--- a/crates/gateway/src/startup/state.rs
+++ b/crates/gateway/src/startup/state.rs
@@ -47,6 +47,7 @@
     };
     let timers = Arc::new(Timers::new(clock));
     let policy = Policy::new(seed, PolicyConfig { capabilities, ..platform.policy });
+    let response_memory = MemoryPool::new(limits.response_memory);
     State {
         clock,
         stall_detector: StallDetector::start(clock.now()),
@@ -57,7 +58,8 @@
         request_memory: MemoryPool::new(limits.request_memory),
         policy: PolicyHandle::new(policy, clock, timers.clone()),
         timers,
-        client_connections: ClientConnections::new(limits.unsent_bytes),
+        client_connections: ClientConnections::new(response_memory.clone()),
+        response_memory,
         engine_connections: Arc::new(ConnectionPool::new(
             limits.engine_connections,
             platform.engine_idle_timeout,
--- a/crates/gateway/src/state/client_connections.rs
+++ b/crates/gateway/src/state/client_connections.rs
@@ -1,7 +1,8 @@
 //! Registry of the open MessagePack-RPC client connections.
 
 use super::lock;
-use super::response_writer::{ResponseWriter, UnsentBytes};
+use super::memory::MemoryPool;
+use super::response_writer::ResponseWriter;
 use larchfall_policy::time::Timestamp;
 use may::io::WaitIoWaker;
 use slab::Slab;
@@ -11,7 +12,8 @@
 /// reused afterwards.
 pub struct ClientConnections {
     writers: Mutex<Slab<Arc<ResponseWriter>>>,
-    unsent: Arc<UnsentBytes>,
+    /// Memory for results and responses.
+    memory: Arc<MemoryPool>,
 }
 
 /// A newly registered client connection.
@@ -23,17 +25,14 @@
 }
 
 impl ClientConnections {
-    /// Creates an empty registry. `max_unsent_bytes` bounds the unsent response bytes of all connections together.
-    pub fn new(max_unsent_bytes: usize) -> ClientConnections {
-        ClientConnections {
-            writers: Mutex::new(Slab::new()),
-            unsent: Arc::new(UnsentBytes::new(max_unsent_bytes)),
-        }
+    /// Creates an empty registry. `memory` holds the results and unsent responses of all connections.
+    pub fn new(memory: Arc<MemoryPool>) -> ClientConnections {
+        ClientConnections { writers: Mutex::new(Slab::new()), memory }
     }
 
     /// Adds a connection. `waker` wakes the connection's coroutine.
     pub fn register(&self, waker: WaitIoWaker, now: Timestamp) -> RegisteredConnection {
-        let writer = Arc::new(ResponseWriter::new(waker, self.unsent.clone(), now));
+        let writer = Arc::new(ResponseWriter::new(waker, self.memory.account(), now));
         let id = lock(&self.writers).insert(writer.clone());
         RegisteredConnection { id, writer }
     }
--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -10,8 +10,10 @@
 /// Number of descriptors for other uses: listener, discovery service, signals, log, epoll, standard streams and load
 /// reports.
 const OTHER_DESCRIPTORS: usize = 24;
-/// Divisor of the machine's memory that gives the memory for unsent responses.
+/// Divisor of the machine's memory that gives the memory for results and unsent responses.
 const RESPONSE_MEMORY_DIVISOR: usize = 4;
+/// Smallest share of the memory for responses that a client connection is guaranteed, in bytes: a page of a result.
+const MIN_RESPONSE_SHARE_BYTES: usize = 8 * 1024;
 /// Divisor of the machine's memory that gives the memory for input of clients and requests in flight.
 const REQUEST_MEMORY_DIVISOR: usize = 3;
 /// Memory of a request in flight in bytes, without its statement: the part of its coroutine's stack that is touched,
@@ -43,8 +45,8 @@
     pub request_memory: MemoryBudget,
     /// Number of requests without a statement that `request_memory` allows.
     pub requests: usize,
-    /// Maximum size of responses not yet sent, in bytes, over all clients.
-    pub unsent_bytes: usize,
+    /// Memory for results that are being read and responses not yet sent, of all clients.
+    pub response_memory: MemoryBudget,
 }
 
 impl Limits {
@@ -60,7 +62,11 @@
             engine_connections: ENGINE_DESCRIPTOR_FRACTION.of(descriptors),
             request_memory: MemoryBudget::new(request_bytes, client_connections, MIN_REQUEST_SHARE_BYTES),
             requests: request_bytes / BYTES_PER_REQUEST,
-            unsent_bytes: memory / RESPONSE_MEMORY_DIVISOR,
+            response_memory: MemoryBudget::new(
+                memory / RESPONSE_MEMORY_DIVISOR,
+                client_connections,
+                MIN_RESPONSE_SHARE_BYTES,
+            ),
         };
         let is_usable = limits.client_connections > 0 && limits.engine_connections > 0 && limits.requests > 0;
         is_usable.then_some(limits)
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -55,8 +55,10 @@
     pub settings: TransportSettings,
     /// Resource limits of the transport, fixed at startup.
     pub limits: Limits,
-    /// Memory of requests in flight.
+    /// Memory for the input and the requests in flight of all clients.
     pub request_memory: Arc<MemoryPool>,
+    /// Memory for results that are being read and responses not yet sent, of all clients.
+    pub response_memory: Arc<MemoryPool>,
     /// The policy, the endpoint list and the requests in flight.
     pub policy: PolicyHandle,
     /// Open MessagePack-RPC client connections.
@@ -101,7 +103,9 @@
     /// Writes all counters to the log.
     pub fn log_counters(&self) {
         let counters = self.counters.log_lines(&self.settings.names.classes);
-        for line in counters.into_iter().chain(self.request_memory.log_lines()) {
+        let memory =
+            [&self.request_memory, &self.response_memory].into_iter().flat_map(|pool| pool.log_lines());
+        for line in counters.into_iter().chain(memory) {
             info!(self.log, "{}", line);
         }
     }
--- a/crates/gateway/src/state/response_writer.rs
+++ b/crates/gateway/src/state/response_writer.rs
@@ -1,12 +1,13 @@
 //! Buffer for the responses of one client connection. Only the connection's coroutine writes to the socket; request
 //! coroutines add their responses to the buffer and wake the connection's coroutine.
 
+use super::budgeted_buffer::BudgetedBuffer;
 use super::lock;
+use super::memory::{MemoryAccount, Purpose};
 use crate::codec::message_pack::{self, Response};
 use larchfall_policy::time::Timestamp;
 use may::io::WaitIoWaker;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// Maximum number of open requests on one connection.
@@ -14,46 +15,28 @@
 /// Unsent response bytes of a connection above which the gateway stops reading from the connection. The value is the
 /// size of the responses of `MAX_OPEN_REQUESTS` requests.
 const MAX_UNSENT_BYTES: usize = 2 << 20;
+/// Upper bound of what the encoding adds to the rows of a response.
+const RESPONSE_OVERHEAD_BYTES: usize = 16;
+/// Upper bound of an encoded response without rows.
+const SHORT_RESPONSE_BYTES: usize = 128;
+
+/// Response in place of one whose rows the memory budget does not admit.
+const MEMORY_EXCEEDED: Response = Response::Errored("unread answers fill the memory");
 
 /// The open requests and the unsent response bytes of a client connection.
 pub struct ResponseWriter {
     connection: Mutex<ConnectionState>,
     waker: WaitIoWaker,
-    unsent_total: Arc<UnsentBytes>,
-}
-
-/// Total number of response bytes that the gateway has not yet sent, over all client connections.
-pub(super) struct UnsentBytes {
-    bytes: AtomicUsize,
-    max: usize,
-}
-
-impl UnsentBytes {
-    pub(super) fn new(max: usize) -> UnsentBytes {
-        UnsentBytes { bytes: AtomicUsize::new(0), max }
-    }
-
-    fn add(&self, bytes: usize) {
-        self.bytes.fetch_add(bytes, Ordering::Relaxed);
-    }
-
-    fn remove(&self, bytes: usize) {
-        self.bytes.fetch_sub(bytes, Ordering::Relaxed);
-    }
-
-    fn is_exceeded(&self) -> bool {
-        self.bytes.load(Ordering::Relaxed) > self.max
-    }
+    account: Arc<MemoryAccount>,
 }
 
-#[derive(Default)]
 struct ConnectionState {
     /// Indices of the open requests, by the id of the message that contained the request.
     open_requests: BTreeMap<u32, usize>,
     /// Highest message id received so far.
     last_message_id: u32,
     /// Encoded responses that are not yet written to the socket.
-    unsent: Vec<u8>,
+    unsent: BudgetedBuffer,
     /// Time of the last read or write on the socket.
     last_activity: Timestamp,
     /// Time since which the gateway awaits a complete message: either the first message, or the rest of a message of
@@ -92,13 +75,23 @@
 }
 
 impl ResponseWriter {
-    pub(super) fn new(waker: WaitIoWaker, unsent_total: Arc<UnsentBytes>, now: Timestamp) -> ResponseWriter {
+    /// Creates the buffer of a new connection, whose results and responses are held by `account`.
+    pub(super) fn new(waker: WaitIoWaker, account: Arc<MemoryAccount>, now: Timestamp) -> ResponseWriter {
         let connection = ConnectionState {
+            open_requests: BTreeMap::new(),
+            last_message_id: 0,
+            unsent: BudgetedBuffer::new(account.empty_reservation(Purpose::Response)),
             last_activity: now,
             awaiting_message_since: Some(now),
-            ..ConnectionState::default()
+            has_sent_message: false,
+            should_close: false,
         };
-        ResponseWriter { connection: Mutex::new(connection), waker, unsent_total }
+        ResponseWriter { connection: Mutex::new(connection), waker, account }
+    }
+
+    /// Creates a buffer for the rows of a result that a later response will contain.
+    pub fn row_buffer(&self) -> BudgetedBuffer {
+        BudgetedBuffer::new(self.account.empty_reservation(Purpose::Rows))
     }
 
     /// Checks and records the id of a received message.
@@ -144,13 +137,23 @@
     /// Sends a response to a message, whether or not the message opened a request.
     pub fn send(&self, id: u32, response: &Response) {
         let mut connection = lock(&self.connection);
-        let length_before = connection.unsent.len();
-        // Clients that do not read their responses must not exhaust the gateway's memory. Once the total is exceeded, a
-        // short error replaces each response.
-        let is_full = self.unsent_total.is_exceeded();
-        let response = if is_full { &Response::Errored("unread answers fill the memory") } else { response };
-        message_pack::encode(&mut connection.unsent, id, response);
-        self.unsent_total.add(connection.unsent.len() - length_before);
+        let unsent = &mut connection.unsent;
+        // Clients that do not read their responses must not exhaust the gateway's memory. A short error replaces a
+        // response whose rows the memory budget does not admit.
+        let is_admitted = match response {
+            Response::Returned(rows) => unsent.try_reserve(rows.len() + RESPONSE_OVERHEAD_BYTES).is_ok(),
+            _ => false,
+        };
+        if is_admitted {
+            unsent.append_with(|out| message_pack::encode(out, id, response));
+        } else {
+            let is_replaced = matches!(response, Response::Returned(_));
+            let response = if is_replaced { &MEMORY_EXCEEDED } else { response };
+            if unsent.try_reserve(SHORT_RESPONSE_BYTES).is_err() {
+                unsent.reserve(SHORT_RESPONSE_BYTES);
+            }
+            unsent.append_with(|out| message_pack::encode(out, id, response));
+        }
         drop(connection);
         self.waker.wakeup();
     }
@@ -163,15 +166,16 @@
             return Ok(0);
         }
         let written = write(&connection.unsent)?;
-        connection.unsent.drain(..written);
-        if connection.unsent.is_empty() {
-            // Frees the allocation, so that idle connections hold no memory.
-            connection.unsent = Vec::new();
-        }
-        self.unsent_total.remove(written);
+        connection.unsent.remove_front(written);
         Ok(written)
     }
 
+    /// Discards all unsent responses of a connection that has ended. Requests that are still in flight may keep this
+    /// writer for some time.
+    pub fn discard_unsent(&self) {
+        lock(&self.connection).unsent.clear();
+    }
+
     /// Returns whether the connection has neither open requests nor unsent bytes.
     pub fn is_idle(&self) -> bool {
         lock(&self.connection).is_idle()
@@ -209,9 +213,11 @@
         connection.open_requests.is_empty() && !connection.unsent.is_empty()
     }
 
-    /// Returns whether so many bytes are unsent that the gateway stops reading from the connection.
+    /// Returns whether so many bytes are unsent that the gateway stops reading from the connection: more than a bound, or
+    /// as many as the memory budget admits.
     pub fn is_backlogged(&self) -> bool {
-        lock(&self.connection).unsent.len() > MAX_UNSENT_BYTES
+        let unsent = &lock(&self.connection).unsent;
+        unsent.len() > MAX_UNSENT_BYTES || !(unsent.is_empty() || unsent.admits(SHORT_RESPONSE_BYTES))
     }
 
     /// Records that bytes were read from or written to the socket.
@@ -254,9 +260,3 @@
         self.wake();
     }
 }
-
-impl Drop for ResponseWriter {
-    fn drop(&mut self) {
-        self.unsent_total.remove(lock(&self.connection).unsent.len());
-    }
-}
--- a/crates/gateway/tests/gateway/sockets/memory.rs
+++ b/crates/gateway/tests/gateway/sockets/memory.rs
@@ -157,8 +157,8 @@
             client.answer().unwrap().1
         });
         let refused = answers.filter(|answer| *answer != rows("ok\n")).collect::<Vec<Answer>>();
+        assert_within_memory(&gateway, memory_mb, &format!("{memory_mb} MB"));
         assert!(!refused.is_empty(), "{memory_mb} MB: no load was refused");
         assert!(refused.iter().all(|answer| *answer == rejection()), "{memory_mb} MB: {refused:?}");
-        assert_within_memory(&gateway, memory_mb, &format!("{memory_mb} MB"));
     }
 }
--- a/crates/gateway/tests/gateway/state.rs
+++ b/crates/gateway/tests/gateway/state.rs
@@ -7,8 +7,10 @@
 use larchfall_gateway::state::counters::Counters;
 use larchfall_gateway::state::engine_table::{EndpointChanges, EngineTable};
 use larchfall_gateway::state::limits::Limits;
+use larchfall_gateway::state::memory::{MemoryPool, Purpose};
 use larchfall_gateway::state::response_writer::{MAX_OPEN_REQUESTS, MessageIdCheck};
 use larchfall_gateway::state::stall_detector::StallDetector;
+use larchfall_policy::memory_budget::MemoryBudget;
 use larchfall_policy::time::{Duration, Timestamp};
 use larchfall_policy::types::{EngineState, Outcome};
 use may::io::WaitIo;
@@ -112,7 +114,7 @@
             limits.client_connections * 3 >= (sockets - 24),
             "clients get at least a third of the descriptors: {limits:?}"
         );
-        assert!(limits.unsent_bytes <= memory << 18, "{limits:?}");
+        assert!(limits.response_memory.max_bytes() <= memory << 18, "{limits:?}");
     }
     for (memory, sockets) in [(192, 0), (192, 24), (0, 1024)] {
         assert_eq!(Limits::new(memory, sockets), None, "{memory} MB, {sockets} sockets");
@@ -181,7 +183,7 @@
     in_coroutine(|| {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let stream = may::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        let connections = ClientConnections::new(40);
+        let connections = ClientConnections::new(MemoryPool::new(MemoryBudget::new(40, 1, 0)));
         let registered = connections.register(stream.waker(), at_ms(0));
         let writer = registered.writer;
         assert_eq!(
@@ -227,6 +229,40 @@
     });
 }
 
+/// Guards against clients that send messages and read no response: short responses were added without regard to the
+/// memory for responses, up to 2 MiB on each connection.
+#[test]
+fn a_connection_is_not_read_once_its_unsent_responses_reach_the_memory_budget() {
+    const BUDGET_BYTES: usize = 64 * 1024;
+    const MAX_SHORT_RESPONSE_BYTES: usize = 128;
+    in_coroutine(|| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = may::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let memory = MemoryPool::new(MemoryBudget::new(BUDGET_BYTES, 8, 0));
+        let connections = ClientConnections::new(memory.clone());
+        let unread = [0; 8].map(|_| connections.register(stream.waker(), at_ms(0)).writer);
+        for writer in &unread {
+            let mut message_id = 0;
+            while !writer.is_backlogged() {
+                message_id += 1;
+                writer.send(message_id, &Response::Errored("req is missing or unusable"));
+                assert!((message_id as usize) < BUDGET_BYTES, "the connection is read without end");
+            }
+        }
+        let held = memory.usage(Purpose::Response).held_bytes;
+        let overshoot = unread.len() * MAX_SHORT_RESPONSE_BYTES;
+        assert!(held <= BUDGET_BYTES + overshoot, "{held} of {BUDGET_BYTES} bytes");
+        for writer in &unread {
+            writer.write(|bytes| Ok::<_, ()>(bytes.len())).unwrap();
+            assert!(!writer.is_backlogged());
+        }
+        assert_eq!(memory.usage(Purpose::Response).held_bytes, 0, "memory was not given back");
+        unread[0].send(1, &Response::Returned(&[0; 1000]));
+        unread[0].discard_unsent();
+        assert_eq!(memory.usage(Purpose::Response).held_bytes, 0, "a closed connection holds memory");
+    });
+}
+
 #[test]
 fn counters_are_kept_per_class_and_outcome() {
     let counters = Counters::new(2);
--- a/crates/policy/src/memory_budget.rs
+++ b/crates/policy/src/memory_budget.rs
@@ -45,6 +45,11 @@
         self.excess_bytes = (self.excess_bytes - self.excess(from)).saturating_add(self.excess(to));
     }
 
+    /// The bound of what all accounts hold together.
+    pub fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
     /// Bytes that all accounts hold together.
     pub fn held_bytes(&self) -> usize {
         self.held_bytes
