Hold a statement once while its attempt runs, not twice

Callers would have seen: nothing but memory that no bound counts: up to 438 attempts at 1,024 descriptors, 128 KiB each.

Cause: the encoded starting call, a copy of the statement behind its head, was a temporary of the `match` over its reply and lived until the attempt had ended (engine/attempt.rs, Attempt::start).

Change: the call is its head and a reference to the statement. Head and the first 4 KiB of the body go out in one write, as short calls did before; the rest is written from the statement itself.

--- a/crates/gateway/src/codec/engine_http.rs
+++ b/crates/gateway/src/codec/engine_http.rs
@@ -30,8 +30,16 @@
     pub statement: &'a [u8],
 }
 
+/// The call that starts a statement. The statement is not copied, since it may be long.
+pub struct StartCall<'a> {
+    /// Request line and headers.
+    pub head: Vec<u8>,
+    /// The statement.
+    pub body: &'a [u8],
+}
+
 /// Encodes the call that starts a statement.
-pub fn encode_start_call(host: impl Display, call: &StatementCall) -> Vec<u8> {
+pub fn encode_start_call<'a>(host: impl Display, call: &StatementCall<'a>) -> StartCall<'a> {
     let StatementCall { id, class, priority, statement, .. } = call;
     let remaining_ms = (call.remaining.micros() / 1000).max(1);
     let mut head = format!(
@@ -45,9 +53,7 @@
         head += &format!("Grant-Mb: {}\r\n", mb.ceil().max(1.0) as u64);
     }
     head += &format!("Content-Length: {}\r\n\r\n", statement.len());
-    let mut bytes = head.into_bytes();
-    bytes.extend_from_slice(statement);
-    bytes
+    StartCall { head: head.into_bytes(), body: statement }
 }
 
 /// Encodes the call for a page of a result. Until the result is available, the reply for page 0 is a progress update.
--- a/crates/gateway/src/engine/attempt.rs
+++ b/crates/gateway/src/engine/attempt.rs
@@ -2,7 +2,7 @@
 //! modules `polling`, `cancellation` and `result_pages` implement polling, cancelling and reading the result.
 
 use super::connection::{self, CallError, ConnectError, Connection};
-use crate::codec::engine_http::{self, Reply, StatementCall};
+use crate::codec::engine_http::{self, Reply, StartCall, StatementCall};
 use crate::request_context::RequestContext;
 use crate::state::State;
 use crate::state::connection_permits::PermitWait;
@@ -152,7 +152,8 @@
                 return AttemptEnd::not_sent(Outcome::NotSent);
             }
             // If no byte of the call was sent, the loop repeats the call on a new connection.
-            match self.call(&mut connection, &self.start_call(), POLL_TIMEOUT) {
+            let StartCall { head, body } = self.start_call();
+            match self.call_with_body(&mut connection, &head, body, POLL_TIMEOUT) {
                 Err(CallError::NotSent) => {}
                 reply => {
                     // Every reply on this connection comes from the process that received or declined the call.
@@ -194,7 +195,7 @@
     }
 
     /// Encodes the call that starts the statement, with the time that remains now until the deadline.
-    fn start_call(&self) -> Vec<u8> {
+    fn start_call(&self) -> StartCall<'_> {
         let call = StatementCall {
             id: &self.context.id,
             class: &self.state.settings.names.classes[self.context.class],
@@ -224,9 +225,20 @@
         connection: &mut Connection,
         call: &[u8],
         timeout: Duration,
+    ) -> Result<Reply, CallError> {
+        self.call_with_body(connection, call, &[], timeout)
+    }
+
+    /// Like `call`, for a call with a body.
+    fn call_with_body(
+        &self,
+        connection: &mut Connection,
+        head: &[u8],
+        body: &[u8],
+        timeout: Duration,
     ) -> Result<Reply, CallError> {
         let deadline = self.deadline().min(self.state.clock.now() + timeout);
-        let reply = connection.call(call, &self.state.clock, deadline);
+        let reply = connection.call_with_body(head, body, &self.state.clock, deadline);
         self.last_call_end.set(self.state.clock.now());
         reply
     }
--- a/crates/gateway/src/engine/connection.rs
+++ b/crates/gateway/src/engine/connection.rs
@@ -17,6 +17,8 @@
 const REPLY_REMAINDER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of bytes per read from the socket.
 const READ_CHUNK_BYTES: usize = 4096;
+/// Maximum number of bytes of a body that are copied behind the head to be sent in one write.
+const MAX_JOINED_BODY_BYTES: usize = 4096;
 
 /// A connection to one engine process.
 pub struct Connection {
@@ -90,25 +92,61 @@
     /// Sends a call and waits for its reply. First reads and discards the outstanding reply to the previous call, if
     /// any.
     pub fn call(&mut self, call: &[u8], clock: &Clock, deadline: Timestamp) -> Result<Reply, CallError> {
+        self.call_with_body(call, &[], clock, deadline)
+    }
+
+    /// Like `call`, for a call with a body.
+    pub fn call_with_body(
+        &mut self,
+        head: &[u8],
+        body: &[u8],
+        clock: &Clock,
+        deadline: Timestamp,
+    ) -> Result<Reply, CallError> {
         if self.awaits_reply {
             self.read_reply(clock, deadline)?;
         }
-        self.send(call, clock, deadline)?;
+        self.send(head, body, clock, deadline)?;
         self.awaits_reply = true;
         self.read_reply(clock, deadline)
     }
 
-    /// Sends a complete call. Returns `NotSent` only if no byte of the call was sent.
-    fn send(&mut self, call: &[u8], clock: &Clock, deadline: Timestamp) -> Result<(), CallError> {
-        let mut sent = 0;
-        while sent < call.len() {
-            let on_timeout = if sent == 0 { CallError::NotSent } else { CallError::TimedOut };
+    /// Sends a complete call. Returns `NotSent` only if no byte of the call was sent. The head and the beginning of the
+    /// body are joined, so that a short call is one write; the rest of the body is not copied.
+    fn send(
+        &mut self,
+        head: &[u8],
+        body: &[u8],
+        clock: &Clock,
+        deadline: Timestamp,
+    ) -> Result<(), CallError> {
+        let (joined_body, rest) = body.split_at(body.len().min(MAX_JOINED_BODY_BYTES));
+        if joined_body.is_empty() {
+            return self.write_all(head, false, clock, deadline);
+        }
+        self.write_all(&[head, joined_body].concat(), false, clock, deadline)?;
+        self.write_all(rest, true, clock, deadline)
+    }
+
+    /// Writes a part of a call; `has_begun` tells whether an earlier part was written. Returns `NotSent` only if no byte
+    /// of the call was sent.
+    fn write_all(
+        &mut self,
+        bytes: &[u8],
+        has_begun: bool,
+        clock: &Clock,
+        deadline: Timestamp,
+    ) -> Result<(), CallError> {
+        let mut written = 0;
+        while written < bytes.len() {
+            let is_unsent = written == 0 && !has_begun;
+            let on_timeout = if is_unsent { CallError::NotSent } else { CallError::TimedOut };
             let remaining = remaining_until(clock, deadline).ok_or(on_timeout)?;
             let _ = self.stream.set_write_timeout(Some(remaining));
-            match self.stream.write(&call[sent..]) {
+            match self.stream.write(&bytes[written..]) {
                 Ok(0) => return Err(CallError::Broken),
-                Ok(written) => sent += written,
-                Err(e) if sent == 0 && !is_timeout(&e) => return Err(CallError::NotSent),
+                Ok(count) => written += count,
+                Err(e) if is_unsent && !is_timeout(&e) => return Err(CallError::NotSent),
                 Err(e) => return Err(call_error(&e)),
             }
         }
--- a/crates/gateway/tests/gateway/codecs/engine_http.rs
+++ b/crates/gateway/tests/gateway/codecs/engine_http.rs
@@ -20,7 +20,7 @@
             statement: b"select '\r\n'",
         },
     );
-    let text = String::from_utf8(call).unwrap();
+    let text = String::from_utf8([&call.head, call.body].concat()).unwrap();
     for line in [
         "POST /obj HTTP/1.1\r\n",
         "\r\nHost: 10.0.0.1:7001\r\n",
--- a/crates/gateway/tests/gateway/sockets/memory.rs
+++ b/crates/gateway/tests/gateway/sockets/memory.rs
@@ -1,7 +1,7 @@
 //! The memory of the whole process while clients send more than fits, and other clients beside them.
 
 use super::{FOREVER, NOW, engine, fields, fields_of, pages, rows};
-use crate::common::{Gateway, config, wait_for};
+use crate::common::{Gateway, config, wait_for, wait_until_seen};
 use larchfall_stub::client::{Answer, Client, request};
 use larchfall_stub::discovery::Discovery;
 use larchfall_stub::engine::{Engine, EngineBehavior};
@@ -162,3 +162,34 @@
         assert!(refused.iter().all(|answer| *answer == rejection()), "{memory_mb} MB: {refused:?}");
     }
 }
+
+/// Starts statements of this size that run without end, and returns how much more memory the gateway then occupies.
+fn memory_of_running_statements(clients: usize, requests: usize, statement_bytes: usize) -> usize {
+    let engine = engine(EngineBehavior::Serve(FOREVER, pages(&[""])));
+    let gateway = start_gateway(192, &engine);
+    let mut clients: Vec<Client> = (0..clients).map(|_| gateway.client()).collect();
+    let before = gateway.resource_use().memory_bytes;
+    for n in 0..requests {
+        let client = n % clients.len();
+        let id = format!("{n:016x}");
+        clients[client].send("once", &fields(&id, "25000"), &insert(statement_bytes)).unwrap();
+    }
+    wait_until_seen(&engine, "all statements to run", |seen| seen.started.len() == requests);
+    gateway.resource_use().memory_bytes - before
+}
+
+/// Guards against copies of a statement that nothing counts: the encoded call was kept beside the statement for as long
+/// as the attempt ran.
+#[test]
+fn a_statement_is_held_once_while_its_attempt_runs() {
+    const CLIENTS: usize = 4;
+    const REQUESTS: usize = 56;
+    const STATEMENT_BYTES: usize = 120_000;
+    /// Upper bound of the input buffer of a client, which has its largest message in it.
+    const INPUT_BYTES: usize = STATEMENT_BYTES * 3 / 2;
+    let of_short_statements = memory_of_running_statements(CLIENTS, REQUESTS, 100);
+    let of_long_statements = memory_of_running_statements(CLIENTS, REQUESTS, STATEMENT_BYTES);
+    let of_statements = of_long_statements.saturating_sub(of_short_statements);
+    let reserved = REQUESTS * STATEMENT_BYTES + CLIENTS * INPUT_BYTES;
+    assert!(of_statements <= reserved, "{of_statements} bytes for statements, {reserved} reserved");
+}
