Paged REST: bound half-read calls by the same account, and let a refusal be read

Callers would have seen: a gateway over its memory, where an operator's file switches this protocol on. A connection could hold a call up to the largest statement (1 MiB by the settings), a chunked one many times that by chunk extensions, the decoded body beside it, and the allocation of both while it waits for a page and rests.

Change: a connection's input and the body of the call that is handled are held by the account of its requests. Every connection may read 4 KiB; what is not admitted beyond is answered with 429 and `Retry-After`, and the connection ends. The input is freed once it is handled. Before it closes over unread input, the connection lingers as MessagePack-RPC does (client/linger.rs, now one place): a close would reset the connection, and the answer could be lost.

--- a/crates/gateway/src/client/message_pack/connection.rs
+++ b/crates/gateway/src/client/message_pack/connection.rs
@@ -3,6 +3,8 @@
 use super::inbox::Inbox;
 use super::requests;
 use crate::client::CloseReason;
+use crate::client::linger::linger;
+use crate::client::transfer::transferred_bytes;
 use crate::state::State;
 use crate::state::client_connections::RegisteredConnection;
 use crate::state::memory::MemoryAccount;
@@ -11,8 +13,8 @@
 use may::io::WaitIo;
 use may::net::TcpStream;
 use slog::info;
-use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr};
+use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Idle time after which a connection is closed. Clients close theirs after 4 s; a connection that stays open for
@@ -23,15 +25,8 @@
 pub const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Number of rounds of reads and writes that a connection makes before its coroutine sleeps and lets others run.
 const MAX_ROUNDS_WITHOUT_SLEEP: usize = 8;
-/// How long a coroutine sleeps to let others run, and between reads while it lingers.
+/// How long a coroutine sleeps to let others run.
 const YIELD_SLEEP: Duration = Duration::from_millis(5);
-/// Maximum time for which input is read and discarded on a connection that this gateway closes. Closing a socket with
-/// unread input resets the connection, and the reset would discard responses that the client has not yet received.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(50);
-/// Size of one read while a connection lingers.
-const DISCARD_CHUNK_BYTES: usize = 4 * 1024;
-/// Maximum number of reads between two sleeps while a connection lingers.
-const MAX_DISCARDED_CHUNKS: usize = 4;
 
 /// A client connection that is registered and counts as open.
 pub struct Connection {
@@ -81,33 +76,6 @@
         "from" => from.to_string(), "reason" => reason.code(), "detail" => reason.detail());
 }
 
-/// Shuts down the sending side, and discards input until the client closes the connection or the timeout ends.
-fn linger(state: &State, stream: &TcpStream) {
-    let until = state.clock.now() + LINGER_TIMEOUT;
-    if stream.shutdown(Shutdown::Write).is_err() {
-        return;
-    }
-    while discard_input(stream).is_ok() && state.clock.now() < until {
-        state.sleep(YIELD_SLEEP);
-    }
-}
-
-/// Reads and discards input for as long as some is available, up to a limit. Returns an error once the client has
-/// closed the connection.
-fn discard_input(stream: &TcpStream) -> Result<(), CloseReason> {
-    let mut chunk = [0; DISCARD_CHUNK_BYTES];
-    for _ in 0..MAX_DISCARDED_CHUNKS {
-        let result = stream.inner().read(&mut chunk);
-        if matches!(result, Ok(0)) {
-            return Err(CloseReason::ClientClosed);
-        }
-        if transferred_bytes(result)? == 0 {
-            break;
-        }
-    }
-    Ok(())
-}
-
 /// The exchange of messages and responses on one connection.
 struct MessageExchange<'a> {
     state: &'a Arc<State>,
@@ -239,12 +207,3 @@
         self.state.shutdown.is_complete().then_some(CloseReason::ShuttingDown)
     }
 }
-
-/// Converts the result of a read or write: the number of bytes transferred, 0 when the socket is not ready.
-pub(super) fn transferred_bytes(result: io::Result<usize>) -> Result<usize, CloseReason> {
-    match result {
-        Ok(count) => Ok(count),
-        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(0),
-        Err(_) => Err(CloseReason::ClientReset),
-    }
-}
--- a/crates/gateway/src/client/message_pack/inbox.rs
+++ b/crates/gateway/src/client/message_pack/inbox.rs
@@ -1,8 +1,8 @@
 //! Input buffer of a connection: bytes that were read and not yet handled. A request that the memory budget does not
 //! admit is discarded as it arrives; only its message id is kept for the response.
 
-use super::connection::transferred_bytes;
 use crate::client::CloseReason;
+use crate::client::transfer::transferred_bytes;
 use crate::codec::message_pack::{self, FrameScanner, Message, MessageError};
 use crate::state::budgeted_buffer::BudgetedBuffer;
 use crate::state::memory::{MemoryAccount, Purpose};
--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -2,7 +2,9 @@
 //! returns results in its own format.
 
 mod close_reason;
+mod linger;
 pub mod message_pack;
 pub mod paged_rest;
+mod transfer;
 
 use close_reason::CloseReason;
--- a/crates/gateway/src/client/paged_rest/connection.rs
+++ b/crates/gateway/src/client/paged_rest/connection.rs
@@ -4,10 +4,12 @@
 use super::responses;
 use super::service::{OpenConnectionGuard, RestService};
 use crate::client::CloseReason;
+use crate::client::linger::linger;
 use crate::state::State;
+use crate::state::budgeted_buffer::BudgetedBuffer;
 use crate::state::clock::to_std_timeout;
-use crate::state::memory::MemoryAccount;
-use larchfall_paged_rest::call::{self, Call, CallError, Method, Progress};
+use crate::state::memory::{BudgetExceeded, MemoryAccount, Purpose};
+use larchfall_paged_rest::call::{self, Call, CallError, Method, Progress, Response};
 use larchfall_policy::time::{Duration, Timestamp};
 use may::net::TcpStream;
 use slog::info;
@@ -49,9 +51,9 @@
     state: &'a Arc<State>,
     service: &'a Arc<RestService>,
     stream: TcpStream,
-    /// Account for the memory of the connection's requests.
+    /// Account for the memory of the connection's input and requests.
     account: Arc<MemoryAccount>,
-    input: Vec<u8>,
+    input: BudgetedBuffer,
     /// When the next call must be complete.
     deadline: Timestamp,
     /// Whether `100 Continue` was sent for the call that is being read.
@@ -61,12 +63,13 @@
 impl<'a> CallExchange<'a> {
     fn new(state: &'a Arc<State>, service: &'a Arc<RestService>, stream: TcpStream) -> CallExchange<'a> {
         let deadline = state.clock.now() + CALL_TIMEOUT;
+        let account = state.request_memory.account();
         CallExchange {
             state,
             service,
             stream,
-            account: state.request_memory.account(),
-            input: Vec::new(),
+            input: BudgetedBuffer::new(account.empty_reservation(Purpose::ClientInput)),
+            account,
             deadline,
             sent_continue: false,
         }
@@ -85,7 +88,7 @@
     fn process_input(&mut self) -> Result<(), CloseReason> {
         match call::decode(&self.input, self.service.settings().max_statement_bytes) {
             Ok(Progress::Complete { call, length }) => {
-                self.input.drain(..length);
+                self.input.remove_front(length);
                 self.respond(&call)
             }
             Ok(Progress::ExpectsContinue) if !self.sent_continue => {
@@ -101,7 +104,10 @@
     /// Handles a call, writes its response, and starts the timeout of the next call.
     fn respond(&mut self, call: &Call) -> Result<(), CloseReason> {
         let closes = call.closes_connection || self.state.shutdown.is_complete();
-        let response = calls::handle(self.state, self.service, &self.account, call);
+        let response = match self.account.reserve(Purpose::ClientInput, call.body.len()) {
+            Ok(_held_while_handled) => calls::handle(self.state, self.service, &self.account, call),
+            Err(BudgetExceeded) => self.over_memory_budget(),
+        };
         self.write(&response.encode(closes, call.method))?;
         if closes {
             return Err(if call.closes_connection {
@@ -120,10 +126,42 @@
     /// Responds to malformed input with an error. The connection is closed afterwards.
     fn reject_malformed(&mut self, error: CallError) -> CloseReason {
         let response = responses::invalid_call(error.status(), &error.to_string());
-        let _ = self.write(&response.encode(true, Method::Other));
+        self.write_last(&response);
         CloseReason::MalformedCall(error)
     }
 
+    /// Writes the last response of a connection on which more input may arrive.
+    fn write_last(&mut self, response: &Response) {
+        if self.write(&response.encode(true, Method::Other)).is_ok() {
+            linger(self.state, &self.stream);
+        }
+    }
+
+    /// Counts a call that the memory budget does not admit, and returns its response.
+    fn over_memory_budget(&self) -> Response {
+        self.state.counters.update_gateway(|counters| counters.over_limits += 1);
+        responses::rejected(self.state.settings.max_retry_after)
+    }
+
+    /// Rejects a call of which only a part was received. The connection is closed afterwards, since the rest of the call
+    /// is not read.
+    fn reject_incomplete(&mut self) -> CloseReason {
+        let response = self.over_memory_budget();
+        self.write_last(&response);
+        CloseReason::IncompleteMessage
+    }
+
+    /// Makes room for the next read and returns its size. Every connection has room for one chunk. More has to be
+    /// admitted by the memory budget; returns 0 if it is not.
+    fn make_room(&mut self) -> usize {
+        if self.input.try_reserve(CHUNK_BYTES).is_ok() {
+            return CHUNK_BYTES;
+        }
+        let room = CHUNK_BYTES.saturating_sub(self.input.len());
+        self.input.reserve(room);
+        room
+    }
+
     /// Reads more input. Waits for at most `SHUTDOWN_CHECK_INTERVAL`.
     fn read(&mut self) -> Result<(), CloseReason> {
         if self.state.shutdown.is_complete() {
@@ -136,12 +174,16 @@
         }
         let _ = self.stream.set_read_timeout(Some(remaining.min(to_std_timeout(SHUTDOWN_CHECK_INTERVAL))));
         let starts_call = self.input.is_empty();
+        let room = self.make_room();
+        if room == 0 {
+            return Err(self.reject_incomplete());
+        }
         let mut chunk = [0; CHUNK_BYTES];
-        match self.stream.read(&mut chunk) {
+        match self.stream.read(&mut chunk[..room]) {
             Ok(0) => return Err(CloseReason::ClientClosed),
             Ok(count) => {
                 self.yield_to_others();
-                self.input.extend_from_slice(&chunk[..count]);
+                self.input.append_with(|input| input.extend_from_slice(&chunk[..count]));
                 if starts_call {
                     self.deadline = self.state.clock.now() + CALL_TIMEOUT;
                 }
--- a/crates/gateway/tests/gateway/paged_rest.rs
+++ b/crates/gateway/tests/gateway/paged_rest.rs
@@ -393,3 +393,36 @@
     assert!(gateway.wait_for_exit().success());
     gateway.log.wait_for("reason: stopped");
 }
+
+/// Guards against bodies of calls that are not whole: each connection could hold a statement of the largest size, over
+/// all connections more than the machine's memory.
+#[test]
+fn half_read_calls_stay_within_the_memory_and_the_refused_ones_are_answered() {
+    const CONNECTIONS: usize = 60;
+    const MEMORY_MB: usize = 32;
+    const BODY_BYTES: usize = 1_000_000;
+    let engine = engine(EngineBehavior::Serve(Duration::ZERO, pages(&["ok\n"])));
+    let discovery = Discovery::start("127.0.0.1:0").unwrap();
+    let text = config("127.0.0.1:0", discovery.address, Some(engine.address), 1024);
+    let text = text.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"));
+    let settings = "connections = 64\nstatement-bytes = 1048576";
+    let gateway = Gateway::start_with_operator_config(discovery, &text, Some(&operator_config(settings)));
+    let head = format!("POST /v1/statement HTTP/1.1\r\nHost: h\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+    let half_call = [head.as_bytes(), &[b' '; BODY_BYTES / 2]].concat();
+    // A refused connection may be closed before all of its half call is written.
+    let clients: Vec<RestClient> = (0..CONNECTIONS)
+        .map(|_| {
+            let mut client = gateway.rest_client();
+            let _ = client.raw(&half_call);
+            client
+        })
+        .collect();
+    let mut usual = gateway.rest_client();
+    let first = post(&mut usual, "look", "select 1");
+    assert_eq!(rows(&read_result(&mut usual, &first)), ["ok"]);
+    let peak = gateway.peak_memory_bytes();
+    assert!(peak <= MEMORY_MB << 20, "{} KiB of {} KiB", peak >> 10, MEMORY_MB << 10);
+    let refused = clients.into_iter().filter_map(|mut client| client.answer().ok()).collect::<Vec<Answer>>();
+    assert!(!refused.is_empty(), "no call was refused");
+    assert!(refused.iter().all(|answer| answer.status == 429 && answer.field("retry-after").is_some()));
+}
