Free the input buffer of an engine connection once its reply is taken

Cause: a connection to an engine kept the largest allocation that any reply had needed, up to 72 KiB, for as long as it lived, also while idle; nothing counts it.

Change: an empty buffer gives its allocation back, as the buffers of clients do.

--- a/crates/gateway/src/engine/connection.rs
+++ b/crates/gateway/src/engine/connection.rs
@@ -161,6 +161,10 @@
                 engine_http::decode(&self.input).map_err(|_| CallError::Broken)?
             {
                 self.input.drain(..length);
+                if self.input.is_empty() {
+                    // Frees the allocation, so that idle connections hold no memory.
+                    self.input = Vec::new();
+                }
                 // An informational response (1xx) precedes the final reply.
                 if reply.status / 100 == 1 {
                     continue;
