Fit the guaranteed shares into the memory also where it is small for its descriptors

Callers would have seen: look-ups rejected at 32 MB and 1,024 descriptors beside some 340 connections of bad clients.

Cause: the shares had a smallest size, and the sum of shares and excesses could be more than the budget: a third of 32 MB is 10.7 MB, and 400 shares of 24 KiB beside half of it for excesses are 15 MB.

Change: shares are for a third of the descriptors, which is what clients hold at most, a share is a request with one read of input, and what is beyond the shares has what they leave, a quarter of the budget at least. The property holds every share free for drawn smallest shares too.

--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -2,8 +2,10 @@
 
 use larchfall_policy::memory_budget::MemoryBudget;
 
-/// Fraction of the descriptors for client connections. Clients hold at most a third of the descriptors; the rest covers
-/// new connections that are accepted while old ones are still closing.
+/// Divisor of the descriptors that gives the number of connections that clients hold at most at the same time.
+const CLIENT_DIVISOR: usize = 3;
+/// Fraction of the descriptors for client connections: those that clients hold, and new connections that are accepted
+/// while old ones are still closing.
 const CLIENT_DESCRIPTOR_FRACTION: Fraction = Fraction { numerator: 2, denominator: 5 };
 /// Fraction of the descriptors for connections to engines.
 const ENGINE_DESCRIPTOR_FRACTION: Fraction = Fraction { numerator: 1, denominator: 2 };
@@ -20,8 +22,8 @@
 /// its records, and the input buffer of its engine connection.
 pub const BYTES_PER_REQUEST: usize = 16 * 1024;
 /// Smallest share of the memory for requests that a client connection is guaranteed, in bytes: one request with a short
-/// statement, and the buffer from which it is read.
-const MIN_REQUEST_SHARE_BYTES: usize = BYTES_PER_REQUEST + 8 * 1024;
+/// statement, and one read of input.
+const MIN_REQUEST_SHARE_BYTES: usize = BYTES_PER_REQUEST + 5 * 1024;
 
 struct Fraction {
     numerator: usize,
@@ -53,6 +55,7 @@
     /// Computes the limits from the memory in MiB and the maximum number of open descriptors. Returns `None` if either
     /// is too small to serve any request.
     pub fn new(memory_mb: usize, max_descriptors: usize) -> Option<Limits> {
+        let clients = max_descriptors / CLIENT_DIVISOR;
         let descriptors = max_descriptors.checked_sub(OTHER_DESCRIPTORS)?;
         let memory = memory_mb << 20;
         let client_connections = CLIENT_DESCRIPTOR_FRACTION.of(descriptors);
@@ -60,11 +63,11 @@
         let limits = Limits {
             client_connections,
             engine_connections: ENGINE_DESCRIPTOR_FRACTION.of(descriptors),
-            request_memory: MemoryBudget::new(request_bytes, client_connections, MIN_REQUEST_SHARE_BYTES),
+            request_memory: MemoryBudget::new(request_bytes, clients, MIN_REQUEST_SHARE_BYTES),
             requests: request_bytes / BYTES_PER_REQUEST,
             response_memory: MemoryBudget::new(
                 memory / RESPONSE_MEMORY_DIVISOR,
-                client_connections,
+                clients,
                 MIN_RESPONSE_SHARE_BYTES,
             ),
         };
--- a/crates/policy/src/memory_budget.rs
+++ b/crates/policy/src/memory_budget.rs
@@ -1,31 +1,35 @@
 //! Shares a memory budget between accounts, of which any number may ask for more and more and release nothing for long.
 //!
-//! Half of the budget is divided into equal shares: up to its guaranteed share, an account is admitted whatever the
-//! others hold. What an account holds beyond its share is its excess. All excesses together are bounded by the other
-//! half of the budget, so that they never take a guaranteed share. Each account's excess is bounded by a dynamic
-//! threshold (Choudhury and Hahne, "Dynamic queue length thresholds for shared-memory packet switches", 1998): it may be
-//! at most as large as what all other excesses leave free.
+//! Half of the budget, or more where the smallest useful shares need it, is divided into equal shares: up to its
+//! guaranteed share, an account is admitted whatever the others hold. What an account holds beyond its share is its
+//! excess. All excesses together are bounded by the rest of the budget, so that they never take a guaranteed share. Each
+//! account's excess is bounded by a dynamic threshold (Choudhury and Hahne, "Dynamic queue length thresholds for
+//! shared-memory packet switches", 1998): it may be at most as large as what all other excesses leave free.
 
-/// Divisor of the budget that gives the bound of all excesses together.
-const EXCESS_DIVISOR: usize = 2;
+/// Divisor of the budget that gives the sum of the shares, unless that makes a share smaller than useful.
+const SHARES_DIVISOR: usize = 2;
+/// Divisor of the budget that gives the part which is always left to excesses.
+const MIN_EXCESS_DIVISOR: usize = 4;
 
 /// The bounds of a budget, and the bytes that its accounts hold together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryBudget {
     max_bytes: usize,
     guaranteed_bytes: usize,
+    max_excess_bytes: usize,
     held_bytes: usize,
     excess_bytes: usize,
 }
 
 impl MemoryBudget {
-    /// Creates a budget of which nothing is held. `accounts` is the number of accounts that get a guaranteed share. The
-    /// share is at least `min_share_bytes`; where that is more than an equal part, accounts are served in the order in
-    /// which they ask.
+    /// Creates a budget of which nothing is held. `accounts` is the number of accounts that get a guaranteed share of at
+    /// least `min_share_bytes`. Where these shares are more than three quarters of the budget, accounts get theirs in the
+    /// order in which they ask.
     pub fn new(max_bytes: usize, accounts: usize, min_share_bytes: usize) -> MemoryBudget {
-        let equal_share = (max_bytes - max_bytes / EXCESS_DIVISOR) / accounts.max(1);
-        let guaranteed_bytes = equal_share.max(min_share_bytes);
-        MemoryBudget { max_bytes, guaranteed_bytes, held_bytes: 0, excess_bytes: 0 }
+        let guaranteed_bytes = (max_bytes / SHARES_DIVISOR / accounts.max(1)).max(min_share_bytes);
+        let all_shares = guaranteed_bytes.saturating_mul(accounts);
+        let max_excess_bytes = max_bytes.saturating_sub(all_shares).max(max_bytes / MIN_EXCESS_DIVISOR);
+        MemoryBudget { max_bytes, guaranteed_bytes, max_excess_bytes, held_bytes: 0, excess_bytes: 0 }
     }
 
     /// Returns whether an account that holds `account_bytes` of this budget may hold `additional_bytes` more.
@@ -34,7 +38,7 @@
         let excess_before = self.excess(account_bytes);
         let excess_after = self.excess(account_after);
         let all_excesses_after = self.excess_bytes.saturating_add(excess_after - excess_before);
-        let free_for_excess = (self.max_bytes / EXCESS_DIVISOR).saturating_sub(all_excesses_after);
+        let free_for_excess = self.max_excess_bytes.saturating_sub(all_excesses_after);
         self.held_bytes.saturating_add(additional_bytes) <= self.max_bytes
             && (excess_after == 0 || excess_after <= free_for_excess)
     }
