Hold no input buffer on connections without input; name what ended for the budget

A refused notification and a refused call looked like a message that is too long, or not whole, in the log.

Change: a read into an empty buffer reserves nothing ahead; what came is reserved after it. One function for both protocols (BudgetedBuffer::next_read_bytes). The reason of the end is `over-memory-budget`.

--- a/crates/gateway/src/client/close_reason.rs
+++ b/crates/gateway/src/client/close_reason.rs
@@ -13,6 +13,8 @@
     IncompleteMessage,
     /// The connection's file descriptor was needed for another client.
     Evicted,
+    /// The memory budget did not admit the rest of a message or call.
+    OverMemoryBudget,
     /// The client did not read its responses within the timeout.
     ResponsesUnread,
     MalformedMessage(MessageError),
@@ -37,6 +39,7 @@
             CloseReason::Idle => "quiet",
             CloseReason::IncompleteMessage => "no-whole-message",
             CloseReason::Evicted => "room-needed",
+            CloseReason::OverMemoryBudget => "over-memory-budget",
             CloseReason::ResponsesUnread => "answers-not-read",
             CloseReason::MalformedMessage(_) | CloseReason::MalformedCall(_) => "malformed",
             CloseReason::DuplicateMessageId => "id-used-twice",
--- a/crates/gateway/src/client/message_pack/inbox.rs
+++ b/crates/gateway/src/client/message_pack/inbox.rs
@@ -82,7 +82,7 @@
         let mut total = 0;
         // Reads beyond the limit while no complete message may be buffered: a message may be longer than the limit.
         while total < READ_AHEAD_BYTES && (self.bytes.len() < READ_AHEAD_BYTES || !self.may_hold_more) {
-            let room = self.make_room();
+            let room = self.bytes.next_read_bytes(CHUNK_BYTES);
             if room == 0 {
                 let is_scanned = total == 0 && !self.may_hold_more;
                 if !is_scanned {
@@ -106,17 +106,6 @@
         Ok(total)
     }
 
-    /// Makes room for the next read and returns its size. Every connection has room for one chunk. More has to be
-    /// admitted by the memory budget; returns 0 if it is not.
-    fn make_room(&mut self) -> usize {
-        if self.bytes.try_reserve(CHUNK_BYTES).is_ok() {
-            return CHUNK_BYTES;
-        }
-        let room = CHUNK_BYTES.saturating_sub(self.bytes.len());
-        self.bytes.reserve(room);
-        room
-    }
-
     /// Begins to discard the message of which all buffered bytes are a part.
     fn refuse_message(&mut self) {
         self.refused = Some(RefusedMessage { message_id: message_pack::request_message_id(&self.bytes) });
@@ -157,7 +146,7 @@
             None => Ok(decode_complete(&self.bytes[handled..handled + length])?),
             // No response is due, so that closing the connection is the only way to tell the client.
             Some(RefusedMessage { message_id: None }) => {
-                return Err(CloseReason::MalformedMessage(MessageError::TooLong));
+                return Err(CloseReason::OverMemoryBudget);
             }
             Some(RefusedMessage { message_id: Some(message_id) }) => Err(OverMemoryBudget { message_id }),
         };
--- a/crates/gateway/src/client/paged_rest/connection.rs
+++ b/crates/gateway/src/client/paged_rest/connection.rs
@@ -148,18 +148,7 @@
     fn reject_incomplete(&mut self) -> CloseReason {
         let response = self.over_memory_budget();
         self.write_last(&response);
-        CloseReason::IncompleteMessage
-    }
-
-    /// Makes room for the next read and returns its size. Every connection has room for one chunk. More has to be
-    /// admitted by the memory budget; returns 0 if it is not.
-    fn make_room(&mut self) -> usize {
-        if self.input.try_reserve(CHUNK_BYTES).is_ok() {
-            return CHUNK_BYTES;
-        }
-        let room = CHUNK_BYTES.saturating_sub(self.input.len());
-        self.input.reserve(room);
-        room
+        CloseReason::OverMemoryBudget
     }
 
     /// Reads more input. Waits for at most `SHUTDOWN_CHECK_INTERVAL`.
@@ -174,7 +163,7 @@
         }
         let _ = self.stream.set_read_timeout(Some(remaining.min(to_std_timeout(SHUTDOWN_CHECK_INTERVAL))));
         let starts_call = self.input.is_empty();
-        let room = self.make_room();
+        let room = self.input.next_read_bytes(CHUNK_BYTES);
         if room == 0 {
             return Err(self.reject_incomplete());
         }
--- a/crates/gateway/src/state/budgeted_buffer.rs
+++ b/crates/gateway/src/state/budgeted_buffer.rs
@@ -46,6 +46,15 @@
         Ok(())
     }
 
+    /// Returns the size of the next read of at most `chunk_bytes` into this buffer. Every buffer may hold one chunk; more
+    /// has to be admitted by the budget. Reserves nothing for an empty buffer, which may wait for its input for long.
+    pub fn next_read_bytes(&mut self, chunk_bytes: usize) -> usize {
+        if self.bytes.is_empty() || self.try_reserve(chunk_bytes).is_ok() {
+            return chunk_bytes;
+        }
+        chunk_bytes.saturating_sub(self.bytes.len())
+    }
+
     /// Makes room for `additional` more bytes, even beyond the budget. For small amounts only.
     pub fn reserve(&mut self, additional: usize) {
         self.bytes.reserve_exact(additional);
--- a/crates/gateway/tests/gateway/sockets/memory.rs
+++ b/crates/gateway/tests/gateway/sockets/memory.rs
@@ -194,3 +194,20 @@
     let at_most = REQUESTS * STATEMENT_BYTES * 3 / 2 + CLIENTS * INPUT_BYTES;
     assert!(of_statements <= at_most, "{of_statements} bytes for statements, {at_most} at most");
 }
+
+/// Guards against connections that keep a buffer while they rest.
+#[test]
+fn connections_without_input_hold_no_memory() {
+    let gateway = start_gateway(32, &engine(EngineBehavior::Serve(NOW, pages(&["ok\n"]))));
+    let mut clients: Vec<Client> = (0..20).map(|_| gateway.client()).collect();
+    for client in &mut clients {
+        client.ping().unwrap();
+        client.answer().unwrap();
+    }
+    // Long enough for the gateway to wait for input again, and shorter than it keeps such connections.
+    thread::sleep(Duration::from_millis(200));
+    gateway.signal("-USR1");
+    let counters = gateway.log.wait_for("purpose: client_input");
+    assert!(counters.contains("client_input, bytes: 0, most_bytes: "), "{counters}");
+    look_up(&gateway, 1);
+}
