Bound replies of engines that are not complete over all engine connections

Callers would have seen: a gateway over its memory. Each connection to an engine could hold 72 KiB of a reply that is not whole (a head of 8 KiB, a body of 64 KiB): 438 attempts at 1,024 descriptors are 31 MB. Found by reading, not seen in a run.

Change: a connection's replies are held by an account in the pool of responses. A read of 4 KiB is always allowed; a reply that is not admitted beyond breaks its connection, and is asked for again like any reply that breaks off.

Evidence: replies_of_all_engine_connections_stay_within_their_memory fails without the bound (2,621,440 of 262,144 bytes) and passes.

--- a/crates/gateway/src/engine/connection.rs
+++ b/crates/gateway/src/engine/connection.rs
@@ -3,8 +3,10 @@
 use crate::codec::Decoded;
 use crate::codec::engine_http::{self, Reply};
 use crate::state::State;
+use crate::state::budgeted_buffer::BudgetedBuffer;
 use crate::state::clock::Clock;
 use crate::state::engine_table::EngineInstance;
+use crate::state::memory::{Purpose, Reservation};
 use larchfall_policy::time::{Duration, Timestamp};
 use may::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
@@ -24,7 +26,7 @@
 pub struct Connection {
     stream: TcpStream,
     instance: EngineInstance,
-    input: Vec<u8>,
+    input: BudgetedBuffer,
     /// Whether a call was sent completely and its reply is outstanding. The next reply read belongs to that call.
     awaits_reply: bool,
 }
@@ -35,8 +37,9 @@
     /// No byte of the call was sent.
     #[error("no byte of the call was sent")]
     NotSent,
-    /// The connection was closed or its input was not a usable reply; the engine may have received the complete call.
-    #[error("connection closed or reply malformed")]
+    /// The connection was closed, its input was not a usable reply, or the memory budget did not admit the reply; the
+    /// engine may have received the complete call.
+    #[error("connection closed or reply unusable")]
     Broken,
     /// The deadline passed; the engine may have received the complete call.
     #[error("no complete reply before the deadline")]
@@ -55,15 +58,20 @@
 }
 
 impl Connection {
-    /// Connects to an engine process. A zero timeout fails with `Unreachable`.
-    pub fn open(instance: EngineInstance, timeout: StdDuration) -> Result<Connection, ConnectError> {
+    /// Connects to an engine process. A zero timeout fails with `Unreachable`. The replies are held by `reply_memory`.
+    pub fn open(
+        instance: EngineInstance,
+        timeout: StdDuration,
+        reply_memory: Reservation,
+    ) -> Result<Connection, ConnectError> {
         if timeout.is_zero() {
             return Err(ConnectError::Unreachable);
         }
         match TcpStream::connect_timeout(&SocketAddr::V4(instance.address), timeout) {
             Ok(stream) => {
                 let _ = stream.set_nodelay(true);
-                Ok(Connection { stream, instance, input: Vec::new(), awaits_reply: false })
+                let input = BudgetedBuffer::new(reply_memory);
+                Ok(Connection { stream, instance, input, awaits_reply: false })
             }
             Err(e) if e.kind() == ErrorKind::ConnectionRefused => Err(ConnectError::Refused),
             Err(_) => Err(ConnectError::Unreachable),
@@ -160,11 +168,7 @@
             if let Some(Decoded { value: reply, length }) =
                 engine_http::decode(&self.input).map_err(|_| CallError::Broken)?
             {
-                self.input.drain(..length);
-                if self.input.is_empty() {
-                    // Frees the allocation, so that idle connections hold no memory.
-                    self.input = Vec::new();
-                }
+                self.input.remove_front(length);
                 // An informational response (1xx) precedes the final reply.
                 if reply.status / 100 == 1 {
                     continue;
@@ -179,13 +183,14 @@
             }
             let remaining = remaining_until(clock, deadline).ok_or(CallError::TimedOut)?;
             let _ = self.stream.set_read_timeout(Some(remaining));
-            let old_length = self.input.len();
-            self.input.resize(old_length + READ_CHUNK_BYTES, 0);
-            let read = self.stream.read(&mut self.input[old_length..]);
-            self.input.truncate(old_length + *read.as_ref().unwrap_or(&0));
-            match read {
+            let is_first_read = self.input.is_empty();
+            let max_bytes = self.input.next_read_bytes(READ_CHUNK_BYTES);
+            if max_bytes == 0 {
+                return Err(CallError::Broken);
+            }
+            match self.input.read_with(max_bytes, |buffer| self.stream.read(buffer)) {
                 Ok(0) => return Err(CallError::Broken),
-                Ok(_) if old_length == 0 => deadline = deadline.min(clock.now() + REPLY_REMAINDER_TIMEOUT),
+                Ok(_) if is_first_read => deadline = deadline.min(clock.now() + REPLY_REMAINDER_TIMEOUT),
                 Ok(_) => {}
                 Err(e) => return Err(call_error(&e)),
             }
@@ -226,5 +231,6 @@
         counters.max_engine_connections = counters.max_engine_connections.max(open);
     });
     let connect_deadline = deadline.min(state.clock.now() + state.settings.connect_timeout);
-    Connection::open(instance, state.clock.remaining(connect_deadline))
+    let reply_memory = state.response_memory.account().empty_reservation(Purpose::EngineReply);
+    Connection::open(instance, state.clock.remaining(connect_deadline), reply_memory)
 }
--- a/crates/gateway/src/state/budgeted_buffer.rs
+++ b/crates/gateway/src/state/budgeted_buffer.rs
@@ -1,6 +1,7 @@
-//! A byte buffer whose allocation is reserved in the account of a client connection.
+//! A byte buffer whose allocation is reserved in the account of a connection.
 
 use super::memory::{BudgetExceeded, Reservation};
+use std::io;
 use std::ops::Deref;
 
 /// Divisor of the capacity that gives the least growth of a buffer.
@@ -68,6 +69,21 @@
         self.reservation.resize(self.bytes.capacity());
     }
 
+    /// Lets `read` fill up to `max_bytes` behind the content, and returns its result, the number of bytes that it has
+    /// read. No other coroutine sees the buffer meanwhile, so that a read may block.
+    pub fn read_with(
+        &mut self,
+        max_bytes: usize,
+        read: impl FnOnce(&mut [u8]) -> io::Result<usize>,
+    ) -> io::Result<usize> {
+        let old_length = self.bytes.len();
+        self.bytes.resize(old_length + max_bytes, 0);
+        let result = read(&mut self.bytes[old_length..]);
+        self.bytes.truncate(old_length + *result.as_ref().unwrap_or(&0));
+        self.reservation.resize(self.bytes.capacity());
+        result
+    }
+
     /// Removes the first `count` bytes.
     pub fn remove_front(&mut self, count: usize) {
         self.bytes.drain(..count);
--- a/crates/gateway/src/state/memory.rs
+++ b/crates/gateway/src/state/memory.rs
@@ -1,4 +1,4 @@
-//! Accounts for the memory that client connections occupy with their buffers and requests. `MemoryBudget` of the policy
+//! Accounts for the memory that connections occupy with their buffers and requests. `MemoryBudget` of the policy
 //! decides how much an account may hold; this module counts what is held, by purpose, until it is freed.
 
 use super::lock;
@@ -14,13 +14,16 @@
     ClientInput,
     /// Requests in flight: statement, coroutine and records.
     Request,
+    /// Replies of engines that are not complete yet.
+    EngineReply,
     /// Rows of results that are not complete yet.
     Rows,
     /// Responses that are not sent yet.
     Response,
 }
 
-const PURPOSES: [Purpose; 4] = [Purpose::ClientInput, Purpose::Request, Purpose::Rows, Purpose::Response];
+const PURPOSES: [Purpose; 5] =
+    [Purpose::ClientInput, Purpose::Request, Purpose::EngineReply, Purpose::Rows, Purpose::Response];
 
 impl Purpose {
     /// Name of the purpose in log lines.
@@ -28,6 +31,7 @@
         match self {
             Purpose::ClientInput => "client_input",
             Purpose::Request => "requests",
+            Purpose::EngineReply => "engine_replies",
             Purpose::Rows => "rows",
             Purpose::Response => "responses",
         }
@@ -50,7 +54,7 @@
     pub refused: u64,
 }
 
-/// A memory budget that the accounts of all clients share.
+/// A memory budget that the accounts of all connections share.
 pub struct MemoryPool {
     usage: Mutex<PoolUsage>,
 }
@@ -102,7 +106,7 @@
     }
 }
 
-/// The memory that one client connection holds in a pool.
+/// The memory that one connection holds in a pool.
 pub struct MemoryAccount {
     pool: Arc<MemoryPool>,
     /// Changed only while the pool is locked.
--- a/crates/gateway/tests/gateway/engine_connections.rs
+++ b/crates/gateway/tests/gateway/engine_connections.rs
@@ -9,7 +9,9 @@
 use larchfall_gateway::state::connection_permits::{ConnectionPermits, PermitWait};
 use larchfall_gateway::state::connection_pool::{ConnectionPool, REUSE_DELAY};
 use larchfall_gateway::state::engine_table::EngineInstance;
+use larchfall_gateway::state::memory::{MemoryPool, Purpose, Reservation};
 use larchfall_gateway::state::timers::Timers;
+use larchfall_policy::memory_budget::MemoryBudget;
 use larchfall_policy::time::Duration;
 use larchfall_stub::engine::{Engine, EngineBehavior};
 use std::io::{Read, Write};
@@ -24,8 +26,13 @@
     EngineInstance { engine, address: address.to_string().parse().unwrap(), generation: 1 }
 }
 
+/// Memory for replies from a pool of its own.
+fn reply_memory(max_bytes: usize) -> Reservation {
+    MemoryPool::new(MemoryBudget::new(max_bytes, 1, 0)).account().empty_reservation(Purpose::EngineReply)
+}
+
 fn open(engine: usize, address: SocketAddr) -> Connection {
-    Connection::open(instance(engine, address), CONNECT_TIMEOUT).unwrap()
+    Connection::open(instance(engine, address), CONNECT_TIMEOUT, reply_memory(1 << 20)).unwrap()
 }
 
 fn pool(max_open: usize) -> Arc<ConnectionPool> {
@@ -203,9 +210,9 @@
         );
         closer.join().unwrap().unwrap();
         let refusing = common::refusing_address();
-        let refused = Connection::open(instance(0, refusing.address), CONNECT_TIMEOUT);
+        let refused = Connection::open(instance(0, refusing.address), CONNECT_TIMEOUT, reply_memory(0));
         assert_eq!(refused.err(), Some(ConnectError::Refused));
-        let no_time = Connection::open(instance(0, address), StdDuration::ZERO);
+        let no_time = Connection::open(instance(0, address), StdDuration::ZERO, reply_memory(0));
         assert_eq!(no_time.err(), Some(ConnectError::Unreachable));
         let engine = Engine::start("127.0.0.1:0", |_| EngineBehavior::Decline).unwrap();
         let mut connection = open(0, engine.address);
@@ -254,3 +261,40 @@
         });
     }
 }
+
+/// Guards against replies that nothing counts: on every connection to an engine 72 KiB could wait for the rest of a reply.
+#[test]
+fn replies_of_all_engine_connections_stay_within_their_memory() {
+    const CONNECTIONS: usize = 40;
+    const BUDGET_BYTES: usize = 256 * 1024;
+    /// What each connection may hold beyond the budget.
+    const FIRST_READ_BYTES: usize = 4096;
+    in_coroutine(|| {
+        let clock = Clock::start(unix_time());
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let memory = MemoryPool::new(MemoryBudget::new(BUDGET_BYTES, CONNECTIONS, 0));
+        let mut engines = Vec::new();
+        let mut connections = Vec::new();
+        for _ in 0..CONNECTIONS {
+            let reply_memory = memory.account().empty_reservation(Purpose::EngineReply);
+            let connection = Connection::open(instance(0, address), CONNECT_TIMEOUT, reply_memory);
+            connections.push(connection.unwrap());
+            let (mut engine, _) = listener.accept().unwrap();
+            let half_reply = format!("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n{:30000}", "");
+            engine.write_all(half_reply.as_bytes()).unwrap();
+            engines.push(engine);
+        }
+        let ends: Vec<CallError> = connections
+            .iter_mut()
+            .map(|connection| {
+                connection.call(b"x", &clock, clock.now() + Duration::from_millis(300)).unwrap_err()
+            })
+            .collect();
+        let held = memory.usage(Purpose::EngineReply).held_bytes;
+        assert!(held <= BUDGET_BYTES + CONNECTIONS * FIRST_READ_BYTES, "{held} of {BUDGET_BYTES} bytes");
+        assert!(ends.contains(&CallError::Broken) && ends.contains(&CallError::TimedOut), "{ends:?}");
+        drop(connections);
+        assert_eq!(memory.usage(Purpose::EngineReply).held_bytes, 0);
+    });
+}
