--- a/review/standin-2/bed.rs
+++ b/review/standin-2/bed.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -489,6 +490,7 @@
 pub struct Board {
     pub address: SocketAddr,
     closed: Arc<AtomicBool>,
+    muted: Arc<AtomicBool>,
 }
 
 impl Board {
@@ -500,17 +502,24 @@
         let listener = TcpListener::bind(address).expect("a board's port");
         let address = listener.local_addr().expect("a board's address");
         let closed = Arc::new(AtomicBool::new(false));
-        let (events, flag) = (events.clone(), closed.clone());
+        let muted = Arc::new(AtomicBool::new(false));
+        let (events, is_closed, is_muted) = (events.clone(), closed.clone(), muted.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if flag.load(Ordering::SeqCst) {
+                if is_closed.load(Ordering::SeqCst) || is_muted.load(Ordering::SeqCst) {
                     return;
                 }
-                let (events, flag) = (events.clone(), flag.clone());
-                thread::spawn(move || follow(stream, &events, &flag));
+                let (events, is_closed, is_muted) = (events.clone(), is_closed.clone(), is_muted.clone());
+                thread::spawn(move || follow(stream, &events, &is_closed, &is_muted));
             }
         });
-        Board { address, closed }
+        Board { address, closed, muted }
+    }
+
+    /// Takes no new connection and tells nothing more; open connections stay open.
+    pub fn mute(&self) {
+        self.muted.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
     }
 
     /// Takes no new connection and closes the open ones.
@@ -520,13 +529,17 @@
     }
 }
 
-fn follow(mut stream: TcpStream, events: &Events, closed: &AtomicBool) -> Option<()> {
+fn follow(mut stream: TcpStream, events: &Events, closed: &AtomicBool, muted: &AtomicBool) -> Option<()> {
     let mut last = [0; 8];
     stream.read_exact(&mut last).ok()?;
     let mut told = u64::from_be_bytes(last);
     note(&format!("board: a front asks for what comes after {told}"));
     let mut beat = Instant::now() - Duration::from_secs(1);
     while !closed.load(Ordering::SeqCst) {
+        if muted.load(Ordering::SeqCst) {
+            thread::sleep(ms(10));
+            continue;
+        }
         let change = lock(&events.0).get(told as usize - 1).cloned();
         if let Some(change) = change {
             told += 1;
@@ -591,7 +604,7 @@
 }
 
 impl Gateway {
-    /// Starts a front by the deploy file's `run` and waits until it answers a ping.
+    /// Starts a front by the deploy file's `run`, in a process group of its own, and waits until it answers a ping.
     pub fn start(folder: &Path, listen: &str, config: &str, site: Option<&str>) -> Option<Gateway> {
         let config_path = folder.join("config.json");
         std::fs::write(&config_path, config).ok()?;
@@ -613,6 +626,7 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone().ok()?)
             .stderr(log)
+            .process_group(0)
             .spawn()
             .ok()?;
         started(child.id());
@@ -636,6 +650,17 @@
         signal(self.child.id(), name);
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends the front outright: every process of the group that `run` was started in.
+    pub fn kill_group(&self) {
+        note(&format!("front: SIGKILL to the process group {}", self.child.id()));
+        let group = format!("-{}", self.child.id());
+        let _ = Command::new("kill").args(["-KILL", "--", &group]).status();
+    }
+
     /// The exit status, once the process has ended.
     pub fn exit(&mut self) -> Option<String> {
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
