--- a/examples/stub-engine/src/client.rs
+++ b/examples/stub-engine/src/client.rs
@@ -36,6 +36,11 @@
         Ok(Client { stream, next_id: 1 })
     }
 
+    /// Limits how long [`answer`](Client::answer) waits for more bytes.
+    pub fn set_answer_timeout(&self, timeout: Duration) -> io::Result<()> {
+        self.stream.set_read_timeout(Some(timeout))
+    }
+
     /// Writes `bytes` to the connection without encoding, e.g. a invalid_data message.
     pub fn raw(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
@@ -107,6 +112,17 @@
     }
 }
 
+/// Encodes a request, for clients that write it in parts.
+///
+/// # Errors
+///
+/// If the statement is longer than MessagePack can express.
+pub fn encode_request(id: u32, class: &str, fields: &[(&str, &str)], statement: &str) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    write_value(&mut bytes, &request(id, class, fields, statement))?;
+    Ok(bytes)
+}
+
 /// Builds the MessagePack value of a request, for tests that encode or alter the request themselves.
 pub fn request(id: u32, class: &str, fields: &[(&str, &str)], statement: &str) -> Value {
     let fields = fields.iter().map(|(key, value)| (Value::from(*key), Value::from(*value))).collect();
--- a/examples/stub-engine/src/rest.rs
+++ b/examples/stub-engine/src/rest.rs
@@ -40,6 +40,11 @@
         Ok(RestClient { stream: BufReader::new(stream), host: gateway })
     }
 
+    /// Limits how long [`answer`](RestClient::answer) waits for more bytes.
+    pub fn set_answer_timeout(&self, timeout: Duration) -> io::Result<()> {
+        self.stream.get_ref().set_read_timeout(Some(timeout))
+    }
+
     /// Writes `bytes` to the connection without encoding, e.g. a invalid_data request.
     pub fn raw(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.get_mut().write_all(bytes)
@@ -47,15 +52,8 @@
 
     /// Sends an HTTP request with the given headers; `body` gets a `Content-Length` header only for a POST.
     pub fn send(&mut self, verb: &str, path: &str, head: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
-        let mut request_head = format!("{verb} {path} HTTP/1.1\r\nHost: {}\r\n", self.host);
-        for (name, value) in head {
-            request_head += &format!("{name}: {value}\r\n");
-        }
-        if verb == "POST" {
-            request_head += &format!("Content-Length: {}\r\n", body.len());
-        }
-        request_head += "\r\n";
-        self.raw(&[request_head.as_bytes(), body].concat())
+        let call = encode_call(self.host, verb, path, head, body);
+        self.raw(&call)
     }
 
     /// Reads the next response; a closed connection is an error.
@@ -91,6 +89,19 @@
     }
 }
 
+/// Encodes an HTTP request; `body` gets a `Content-Length` header only for a POST.
+pub fn encode_call(host: SocketAddr, verb: &str, path: &str, head: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut request_head = format!("{verb} {path} HTTP/1.1\r\nHost: {host}\r\n");
+    for (name, value) in head {
+        request_head += &format!("{name}: {value}\r\n");
+    }
+    if verb == "POST" {
+        request_head += &format!("Content-Length: {}\r\n", body.len());
+    }
+    request_head += "\r\n";
+    [request_head.as_bytes(), body].concat()
+}
+
 /// Returns the path and query of `uri` without scheme and host.
 pub fn path(uri: &str) -> &str {
     let authority_start = uri.find("://").map_or(0, |index| index + 3);
