Bound a request's time in the listener's queue by what has passed the queue

What callers saw: while many connections came, requests on new ones were rejected at once as too late, a third to a half of all, with engines and memory free.

Cause: the time of such a request counted from the beginning of the pressure on connections. Pauses of the accept loop less than 100 ms apart were taken as one, so that the time lay ever further back; after as long as the time limit, each new request had none left.

Change: larchfall_policy::accept_queue takes the latest of two bounds: when the queue was seen empty, and when the connection was accepted after which as many were accepted as the queue holds. It applies to what the first read finds.

--- a/crates/fault-tests/examples/client_faults/departures.rs
+++ b/crates/fault-tests/examples/client_faults/departures.rs
@@ -1,7 +1,8 @@
 //! Clients that leave while much of what they sent is unread, and ids that come again.
 
-use crate::test_bed::{LONG, LONG_RUN, Limits, PROTOCOLS, Protocol, TestBed};
-use crate::usual_clients::{RequestText, next_id, raw_connection};
+use crate::test_bed::{Limits, TestBed};
+use larchfall_fault_tests::recording_engine::{LONG, LONG_RUN};
+use larchfall_fault_tests::usual_clients::{PROTOCOLS, Protocol, RequestText, next_id, raw_connection};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
@@ -43,12 +44,9 @@
                 drop(stream);
                 let gone = Instant::now();
                 thread::sleep(Duration::from_secs(3));
-                let attempts = test_bed.engine.attempts();
-                let is_mine = |attempt: &&crate::test_bed::Attempt| {
-                    String::from_utf8_lossy(&attempt.statement).contains(&mark)
-                };
-                begun += attempts.iter().filter(is_mine).count();
-                late += attempts.iter().filter(is_mine).filter(|a| a.at > gone + DEPARTURE_GRACE).count();
+                let times = test_bed.engine.times_of(&mark);
+                begun += times.len();
+                late += times.iter().filter(|at| **at > gone + DEPARTURE_GRACE).count();
             }
             println!(
                 "(c) {protocol:?} {requests} {class} of {statement_bytes} bytes, stays {} ms, {ROUNDS} rounds | \
@@ -104,12 +102,15 @@
             let mut stream = raw_connection(test_bed.address(protocol)).unwrap();
             stream.write_all(&request.encode(protocol, test_bed.address(protocol), 1)).unwrap();
             thread::sleep(LONG_RUN / 2);
-            let successor = crate::test_bed::RecordingEngine::start();
+            let successor = larchfall_fault_tests::recording_engine::RecordingEngine::start();
             test_bed.forwarder.replace(&successor);
             thread::sleep(Duration::from_secs(2));
             leave(stream);
             sent_again += successor.count(&id);
-            let usual = crate::usual_clients::UsualClients::start(&test_bed, Protocol::MessagePack);
+            let usual = larchfall_fault_tests::usual_clients::UsualClients::start(
+                Protocol::MessagePack,
+                test_bed.address(Protocol::MessagePack),
+            );
             thread::sleep(Duration::from_millis(500));
             let _ = usual.stop();
             looks_served += usize::from(successor.count("usual") > 0);
--- a/crates/fault-tests/examples/client_faults/floods.rs
+++ b/crates/fault-tests/examples/client_faults/floods.rs
@@ -1,7 +1,9 @@
 //! One client that sends small or unsound requests at full speed on one connection.
 
-use crate::test_bed::{Limits, PROTOCOLS, Protocol, TestBed};
-use crate::usual_clients::{RequestText, UsualClients, next_id, raw_connection};
+use crate::test_bed::{Limits, TestBed};
+use larchfall_fault_tests::usual_clients::{
+    PROTOCOLS, Protocol, RequestText, UsualClients, next_id, raw_connection,
+};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,7 +30,8 @@
     for protocol in PROTOCOLS {
         let test_bed = TestBed::start(program, limits);
         let before = test_bed.gateway.resource_use().memory_bytes;
-        let usual = PROTOCOLS.map(|protocol| (protocol, UsualClients::start(&test_bed, protocol)));
+        let usual =
+            PROTOCOLS.map(|protocol| (protocol, UsualClients::start(protocol, test_bed.address(protocol))));
         let stopped = Arc::new(AtomicBool::new(false));
         let sent = start_flood(test_bed.address(protocol), protocol, flood, &stopped);
         thread::sleep(DURATION);
@@ -99,7 +102,9 @@
         (Flood::Pings, Protocol::PagedRest) => b"GET /v1/info HTTP/1.1\r\nHost: h\r\n\r\n".to_vec(),
         (Flood::UnknownClasses, _) => request(&class, &statement).encode(protocol, host, message_id),
         (Flood::NewNames, _) => request("look", &statement).encode(protocol, host, message_id),
-        (Flood::LongLoads, _) => request("load", &format!("{} {statement}", crate::test_bed::LONG))
-            .encode(protocol, host, message_id),
+        (Flood::LongLoads, _) => {
+            request("load", &format!("{} {statement}", larchfall_fault_tests::recording_engine::LONG))
+                .encode(protocol, host, message_id)
+        }
     }
 }
--- a/crates/fault-tests/examples/client_faults/main.rs
+++ b/crates/fault-tests/examples/client_faults/main.rs
@@ -8,7 +8,6 @@
 mod floods;
 mod slow_clients;
 mod test_bed;
-mod usual_clients;
 
 use floods::Flood;
 use slow_clients::Misbehavior;
--- a/crates/fault-tests/examples/client_faults/slow_clients.rs
+++ b/crates/fault-tests/examples/client_faults/slow_clients.rs
@@ -1,7 +1,9 @@
 //! Hundreds of clients at once that write slowly, stop half way, or send many short fields.
 
-use crate::test_bed::{PROTOCOLS, Protocol, TestBed};
-use crate::usual_clients::{RequestText, UsualClients, next_id, raw_connection, write_slowly};
+use crate::test_bed::TestBed;
+use larchfall_fault_tests::usual_clients::{
+    PROTOCOLS, Protocol, RequestText, UsualClients, next_id, raw_connection, write_slowly,
+};
 use std::io::{Read, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -45,7 +47,8 @@
             thread::Builder::new().stack_size(STACK_BYTES).spawn(run).unwrap();
         }
         thread::sleep(Duration::from_millis(300));
-        let usual = PROTOCOLS.map(|protocol| (protocol, UsualClients::start(&test_bed, protocol)));
+        let usual =
+            PROTOCOLS.map(|protocol| (protocol, UsualClients::start(protocol, test_bed.address(protocol))));
         let until = Instant::now() + DURATION;
         while Instant::now() < until && test_bed.gateway.descriptor_count() > 0 {
             thread::sleep(Duration::from_millis(100));
--- a/crates/fault-tests/examples/client_faults/test_bed.rs
+++ b/crates/fault-tests/examples/client_faults/test_bed.rs
@@ -3,26 +3,13 @@
 
 use larchfall_fault_tests::gateway_config::{config, operator_config};
 use larchfall_fault_tests::gateway_process::{GatewayFiles, GatewayProcess, address_in};
+use larchfall_fault_tests::recording_engine::RecordingEngine;
+use larchfall_fault_tests::usual_clients::Protocol;
 use larchfall_stub::discovery::Discovery;
-use larchfall_stub::engine::{Engine, EngineBehavior};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
-
-/// A protocol of clients.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Protocol {
-    MessagePack,
-    PagedRest,
-}
-
-pub(crate) const PROTOCOLS: [Protocol; 2] = [Protocol::MessagePack, Protocol::PagedRest];
-
-/// Statements that begin with this run for [`LONG_RUN`], all others end at once.
-pub(crate) const LONG: &str = "long";
-pub(crate) const LONG_RUN: Duration = Duration::from_millis(600);
 
 /// What the platform and the operator give a gateway.
 #[derive(Clone, Copy, Debug)]
@@ -32,43 +19,6 @@
     pub(crate) rest_connections: usize,
 }
 
-/// An attempt that an engine received.
-#[derive(Clone, Debug)]
-pub(crate) struct Attempt {
-    pub(crate) statement: Vec<u8>,
-    pub(crate) at: Instant,
-}
-
-/// An engine that records when it received each attempt.
-pub(crate) struct RecordingEngine {
-    engine: Engine,
-    attempts: Arc<Mutex<Vec<Attempt>>>,
-}
-
-impl RecordingEngine {
-    pub(crate) fn start() -> RecordingEngine {
-        let attempts: Arc<Mutex<Vec<Attempt>>> = Arc::default();
-        let record = attempts.clone();
-        let engine = Engine::start("127.0.0.1:0", move |call| {
-            let statement = call.statement.clone();
-            let duration = if statement.starts_with(LONG.as_bytes()) { LONG_RUN } else { Duration::ZERO };
-            record.lock().unwrap().push(Attempt { statement, at: Instant::now() });
-            EngineBehavior::Serve(duration, vec![b"ok\n".to_vec()])
-        });
-        RecordingEngine { engine: engine.unwrap(), attempts }
-    }
-
-    pub(crate) fn attempts(&self) -> Vec<Attempt> {
-        self.attempts.lock().unwrap().clone()
-    }
-
-    /// Number of attempts whose statement contains this text.
-    pub(crate) fn count(&self, text: &str) -> usize {
-        let contains = |attempt: &&Attempt| String::from_utf8_lossy(&attempt.statement).contains(text);
-        self.attempts.lock().unwrap().iter().filter(contains).count()
-    }
-}
-
 /// Forwards connections to one engine after the other, as if their processes followed each other at one address.
 pub(crate) struct Forwarder {
     pub(crate) address: SocketAddr,
@@ -97,7 +47,7 @@
 
     /// Ends the process at the address, and lets another engine listen there.
     pub(crate) fn replace(&self, engine: &RecordingEngine) {
-        *self.target.lock().unwrap() = engine.engine.address;
+        *self.target.lock().unwrap() = engine.address;
         for stream in self.open.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -127,7 +77,7 @@
 impl TestBed {
     pub(crate) fn start(program: &str, limits: Limits) -> TestBed {
         let engine = RecordingEngine::start();
-        let forwarder = Forwarder::start(engine.engine.address);
+        let forwarder = Forwarder::start(engine.address);
         let discovery = Discovery::start("127.0.0.1:0").unwrap();
         let text = config("127.0.0.1:0", discovery.address, Some(forwarder.address), limits.descriptors);
         let text = text.replace("\"memory_mb\":192", &format!("\"memory_mb\":{}", limits.memory_mb));
--- a/crates/fault-tests/examples/client_faults/usual_clients.rs
+++ b/crates/fault-tests/src/usual_clients.rs
@@ -1,6 +1,6 @@
-//! Clients that send one small request at a time and wait for its answer, beside the clients that misbehave.
+//! Requests of both protocols, and clients that send one small request at a time and wait for its answer, beside clients
+//! that misbehave.
 
-use crate::test_bed::{Protocol, TestBed};
 use larchfall_stub::client::{Answer, Client, encode_request};
 use larchfall_stub::rest::{RestClient, encode_call};
 use std::fmt;
@@ -11,34 +11,57 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+/// A protocol of clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    /// MessagePack-RPC.
+    MessagePack,
+    /// The paged REST protocol.
+    PagedRest,
+}
+
+/// Both protocols of clients.
+pub const PROTOCOLS: [Protocol; 2] = [Protocol::MessagePack, Protocol::PagedRest];
+
+/// The statement of usual clients.
+pub const USUAL_STATEMENT: &str = "select usual";
 /// How long a usual client waits for its answer.
-pub(crate) const TIMEOUT: Duration = Duration::from_millis(3000);
+pub const TIMEOUT: Duration = Duration::from_millis(3000);
 /// Pause between two requests of a usual client.
 const PAUSE: Duration = Duration::from_millis(50);
 
 static LAST_ID: AtomicU64 = AtomicU64::new(0x1000_0000);
 
 /// An id that no other request of the run has.
-pub(crate) fn next_id() -> String {
+pub fn next_id() -> String {
     format!("{:016x}", LAST_ID.fetch_add(1, Ordering::Relaxed))
 }
 
-/// A request of either protocol.
-pub(crate) struct RequestText<'a> {
-    pub(crate) class: &'a str,
-    pub(crate) id: &'a str,
-    pub(crate) key: &'a str,
-    pub(crate) statement: &'a str,
+/// A request of either protocol, with a time limit of [`TIMEOUT`].
+pub struct RequestText<'a> {
+    /// Name of the request class.
+    pub class: &'a str,
+    /// Request id and idempotency key. Paged REST knows no ids of clients.
+    pub id: &'a str,
+    /// Ordering key.
+    pub key: &'a str,
+    /// The statement.
+    pub statement: &'a str,
 }
 
 impl RequestText<'_> {
     /// Encodes the request as message number `message_id` of its connection.
-    pub(crate) fn encode(&self, protocol: Protocol, host: SocketAddr, message_id: u32) -> Vec<u8> {
+    ///
+    /// # Panics
+    ///
+    /// If the statement is longer than MessagePack can express.
+    pub fn encode(&self, protocol: Protocol, host: SocketAddr, message_id: u32) -> Vec<u8> {
         match protocol {
             Protocol::MessagePack => {
+                let timeout = TIMEOUT.as_millis().to_string();
                 let fields = [
                     ("req", self.id),
-                    ("timeout", "3000"),
+                    ("timeout", &timeout),
                     ("owner", "acme"),
                     ("opkey", self.id),
                     ("subject", self.key),
@@ -46,7 +69,7 @@
                 encode_request(message_id, self.class, &fields, self.statement).unwrap()
             }
             Protocol::PagedRest => {
-                let session = format!("order_key={},time_limit_ms=3000", self.key);
+                let session = format!("order_key={},time_limit_ms={}", self.key, TIMEOUT.as_millis());
                 let headers = [
                     ("X-Trino-User", "acme"),
                     ("X-Trino-Source", self.class),
@@ -61,21 +84,30 @@
 
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Outcome {
+pub enum Outcome {
+    /// With its rows.
     Served,
+    /// With the protocol's answer to a request that may be sent again.
     Rejected,
+    /// With any other answer.
     Errored,
+    /// Without an answer, by the end of the connection.
     Closed,
+    /// Without an answer within [`TIMEOUT`].
     Unanswered,
 }
 
-enum Connection {
+/// A connection of a usual client.
+pub enum Connection {
+    /// To the MessagePack-RPC listener.
     MessagePack(Client),
+    /// To the paged REST listener.
     PagedRest(RestClient),
 }
 
 impl Connection {
-    fn open(protocol: Protocol, address: SocketAddr) -> Option<Connection> {
+    /// Connects; `None` if nothing listens.
+    pub fn open(protocol: Protocol, address: SocketAddr) -> Option<Connection> {
         Some(match protocol {
             Protocol::MessagePack => {
                 let client = Client::connect(address).ok()?;
@@ -90,9 +122,10 @@
         })
     }
 
-    fn request(&mut self, address: SocketAddr, message_id: u32) -> Outcome {
+    /// Sends a look-up as message number `message_id` of the connection, and waits for its answer.
+    pub fn request(&mut self, address: SocketAddr, message_id: u32) -> Outcome {
         let id = next_id();
-        let request = RequestText { class: "look", id: &id, key: "1", statement: "select usual" };
+        let request = RequestText { class: "look", id: &id, key: "1", statement: USUAL_STATEMENT };
         let outcome = match self {
             Connection::MessagePack(client) => {
                 let bytes = request.encode(Protocol::MessagePack, address, message_id);
@@ -121,16 +154,23 @@
 
 /// Answers and latencies of usual clients.
 #[derive(Default)]
-pub(crate) struct Figures {
+pub struct Figures {
     results: Vec<(Outcome, Duration)>,
 }
 
 impl Figures {
-    fn count(&self, outcome: Outcome) -> usize {
+    /// Number of requests.
+    pub fn total(&self) -> usize {
+        self.results.len()
+    }
+
+    /// Number of requests that ended like this.
+    pub fn count(&self, outcome: Outcome) -> usize {
         self.results.iter().filter(|(other, _)| *other == outcome).count()
     }
 
-    fn latency_ms(&self, percent: usize) -> u128 {
+    /// The latency in milliseconds that this percentage of requests did not exceed.
+    pub fn latency_ms(&self, percent: usize) -> u128 {
         let mut latencies: Vec<Duration> = self.results.iter().map(|(_, latency)| *latency).collect();
         latencies.sort_unstable();
         let index = (latencies.len() * percent / 100).min(latencies.len().saturating_sub(1));
@@ -156,15 +196,16 @@
 }
 
 /// Usual clients of one protocol that send until they are stopped: each second request on a new connection.
-pub(crate) struct UsualClients {
+pub struct UsualClients {
     stopped: Arc<AtomicBool>,
     thread: JoinHandle<Figures>,
 }
 
 impl UsualClients {
-    pub(crate) fn start(test_bed: &TestBed, protocol: Protocol) -> UsualClients {
+    /// Starts to send to a gateway.
+    pub fn start(protocol: Protocol, address: SocketAddr) -> UsualClients {
         let stopped = Arc::new(AtomicBool::new(false));
-        let (until, address) = (stopped.clone(), test_bed.address(protocol));
+        let until = stopped.clone();
         let thread = thread::spawn(move || {
             let mut figures = Figures::default();
             while !until.load(Ordering::Relaxed) {
@@ -185,14 +226,19 @@
         UsualClients { stopped, thread }
     }
 
-    pub(crate) fn stop(self) -> Figures {
+    /// Waits for the last answer, and returns the figures.
+    ///
+    /// # Panics
+    ///
+    /// If the client's thread has panicked.
+    pub fn stop(self) -> Figures {
         self.stopped.store(true, Ordering::Relaxed);
         self.thread.join().unwrap()
     }
 }
 
 /// Opens a connection for raw bytes.
-pub(crate) fn raw_connection(address: SocketAddr) -> Option<TcpStream> {
+pub fn raw_connection(address: SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect(address).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(TIMEOUT)).ok()?;
@@ -200,7 +246,7 @@
 }
 
 /// Writes bytes in parts with a pause after each. Returns false once the connection has ended.
-pub(crate) fn write_slowly(stream: &mut TcpStream, bytes: &[u8], part_bytes: usize, pause: Duration) -> bool {
+pub fn write_slowly(stream: &mut TcpStream, bytes: &[u8], part_bytes: usize, pause: Duration) -> bool {
     bytes.chunks(part_bytes).all(|part| {
         thread::sleep(pause);
         stream.write_all(part).is_ok()
--- a/crates/gateway/src/client/message_pack/connection.rs
+++ b/crates/gateway/src/client/message_pack/connection.rs
@@ -34,9 +34,8 @@
     from: SocketAddr,
     id: usize,
     writer: Arc<ResponseWriter>,
-    /// Earliest time since which the connection may have waited in the listener's queue; `None` if it can't have
-    /// waited.
-    queued_since: Option<Timestamp>,
+    /// Earliest time since which the connection may have waited in the listener's queue.
+    queued_since: Timestamp,
 }
 
 /// Registers a connection as soon as it is accepted. Its coroutine may start much later; without the registration,
@@ -45,7 +44,7 @@
     state: &State,
     stream: TcpStream,
     from: SocketAddr,
-    queued_since: Option<Timestamp>,
+    queued_since: Timestamp,
 ) -> Connection {
     let _ = stream.set_nodelay(true);
     let registered = state.client_connections.register(stream.waker(), state.clock.now());
@@ -84,6 +83,7 @@
     /// Account for the memory of the connection's input and requests.
     account: Arc<MemoryAccount>,
     inbox: Inbox,
+    /// Earliest time since which the connection may have waited in the listener's queue; `None` after the first read.
     queued_since: Option<Timestamp>,
     /// Set when the client violated the protocol. Further input is discarded, and outstanding responses are still sent.
     protocol_error: Option<CloseReason>,
@@ -99,7 +99,7 @@
         state: &'a Arc<State>,
         stream: &'a TcpStream,
         writer: &'a Arc<ResponseWriter>,
-        queued_since: Option<Timestamp>,
+        queued_since: Timestamp,
     ) -> MessageExchange<'a> {
         let account = state.request_memory.account();
         MessageExchange {
@@ -108,7 +108,7 @@
             writer,
             inbox: Inbox::new(&account),
             account,
-            queued_since,
+            queued_since: Some(queued_since),
             protocol_error: None,
             waiting_since: Timestamp::default(),
             rounds: 0,
@@ -155,10 +155,12 @@
     fn read(&mut self) -> Result<usize, CloseReason> {
         let starts_message = self.inbox.is_empty();
         let read = self.inbox.read(self.stream)?;
+        // Input that came while the connection waited in the listener's queue is there at the first read.
+        let queued_since = self.queued_since.take();
         if read > 0 {
             let sent =
                 self.state.stall_detector.earliest_send_time(self.waiting_since, self.state.clock.now());
-            let sent = self.queued_since.take().map_or(sent, |queued| queued.min(sent));
+            let sent = queued_since.map_or(sent, |queued| queued.min(sent));
             self.inbox.record_send_time(sent, starts_message);
         }
         Ok(read)
--- a/crates/gateway/src/client/message_pack/listener.rs
+++ b/crates/gateway/src/client/message_pack/listener.rs
@@ -1,8 +1,10 @@
 //! Accepts connections of clients that speak MessagePack-RPC.
 
 use super::connection;
+use crate::client::readiness::has_waiting_connection;
 use crate::state::State;
-use larchfall_policy::time::{Duration, Timestamp};
+use larchfall_policy::accept_queue::AcceptQueue;
+use larchfall_policy::time::Duration;
 use may::net::TcpListener;
 use slog::warn;
 use std::sync::Arc;
@@ -15,15 +17,8 @@
 /// send as soon as they are connected; with a longer time, hundreds of silent connections would keep active clients
 /// waiting in the listener's queue.
 const RECENT_ACTIVITY: Duration = Duration::from_millis(50);
-/// Time after accepting resumes until all connections that waited in the listener's queue have been accepted.
-const QUEUE_DRAIN_TIME: Duration = Duration::from_millis(100);
-
-/// A period in which connections waited in the listener's queue because none were accepted.
-#[derive(Clone, Copy)]
-struct AcceptPause {
-    since: Timestamp,
-    until: Timestamp,
-}
+/// Number of connections that may wait in a listener's queue: the backlog that `may` sets, and one more.
+const MAX_WAITING_CONNECTIONS: usize = 1024 + 1;
 
 /// Accepts connections while file descriptors are available. The operating system completes connections that wait in
 /// the listener's queue, and a request sent on such a connection could be overtaken by later requests with the same
@@ -31,7 +26,7 @@
 pub fn accept(state: &Arc<State>, listener: &TcpListener) {
     let max_connections = state.limits.client_connections;
     let spare = max_connections / SPARE_DIVISOR + 1;
-    let mut accept_pause: Option<AcceptPause> = None;
+    let mut queue = AcceptQueue::new(MAX_WAITING_CONNECTIONS, state.clock.now());
     loop {
         let now = state.clock.now();
         if state.client_connections.len() + spare >= max_connections {
@@ -41,17 +36,19 @@
             || state.stall_detector.is_event_poll_overdue(now)
         {
             state.sleep(ACCEPT_RETRY_DELAY);
-            accept_pause = Some(AcceptPause {
-                since: accept_pause.map_or(now, |pause| pause.since),
-                until: state.clock.now(),
-            });
             continue;
         }
-        accept_pause = accept_pause.filter(|pause| now.since(pause.until) < QUEUE_DRAIN_TIME);
-        match listener.accept() {
+        let is_queue_empty = !has_waiting_connection(listener);
+        let accepted = listener.accept();
+        let accepted_at = state.clock.now();
+        if is_queue_empty {
+            // The coroutine was blocked until the connection came, unless the process stood still.
+            queue.record_empty(state.stall_detector.earliest_send_time(now, accepted_at));
+        }
+        match accepted {
             Ok((stream, from)) => {
-                let connection =
-                    connection::register(state, stream, from, accept_pause.map(|pause| pause.since));
+                let queued_since = queue.record_accept(accepted_at);
+                let connection = connection::register(state, stream, from, queued_since);
                 let state = state.clone();
                 may::go!(move || connection::serve(&state, connection));
                 may::coroutine::yield_now();
--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -5,6 +5,7 @@
 mod linger;
 pub mod message_pack;
 pub mod paged_rest;
+mod readiness;
 mod transfer;
 
 use close_reason::CloseReason;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! loopback sockets.
 
 mod cli;
+mod client_isolation;
 mod cluster;
 mod codecs;
 mod combined_faults;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 
 #![deny(missing_docs)]
 
+pub mod accept_queue;
 pub mod attempt_ledger;
 mod cancellation;
 mod capacity_pool;
