--- a/crates/gateway/src/client/close_reason.rs
+++ b/crates/gateway/src/client/close_reason.rs
@@ -2,6 +2,7 @@
 
 use crate::codec::message_pack::MessageError;
 use larchfall_paged_rest::call::CallError;
+use larchfall_policy::client_connection::ConnectionEnd;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CloseReason {
@@ -25,6 +26,16 @@
     ShuttingDown,
 }
 
+impl From<ConnectionEnd> for CloseReason {
+    fn from(end: ConnectionEnd) -> CloseReason {
+        match end {
+            ConnectionEnd::Idle => CloseReason::Idle,
+            ConnectionEnd::IncompleteMessage => CloseReason::IncompleteMessage,
+            ConnectionEnd::Evicted => CloseReason::Evicted,
+        }
+    }
+}
+
 impl CloseReason {
     /// Whether the client closed or reset the connection.
     pub(super) fn is_by_client(self) -> bool {
--- a/crates/gateway/src/client/message_pack/connection.rs
+++ b/crates/gateway/src/client/message_pack/connection.rs
@@ -3,10 +3,12 @@
 use super::inbox::Inbox;
 use super::requests;
 use crate::client::CloseReason;
+use crate::client::input_clock::InputClock;
 use crate::client::linger::linger;
+use crate::client::listener::AcceptedConnection;
 use crate::client::transfer::transferred_bytes;
 use crate::state::State;
-use crate::state::client_connections::RegisteredConnection;
+use crate::state::client_connections::ClientConnection;
 use crate::state::memory::MemoryAccount;
 use crate::state::response_writer::ResponseWriter;
 use larchfall_policy::time::{Duration, Timestamp};
@@ -14,63 +16,28 @@
 use may::net::TcpStream;
 use slog::info;
 use std::io::Write;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Idle time after which a connection is closed. Clients close theirs after 4 s; a connection that stays open for
-/// longer takes the place of another client.
-pub const IDLE_TIMEOUT: Duration = Duration::from_millis(5_000);
-/// Time within which the first message of a connection, and every message that has begun, must be complete. Without
-/// this limit, a client that sends nothing or only part of a message would hold a file descriptor.
-pub const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Number of rounds of reads and writes that a connection makes before its coroutine sleeps and lets others run.
 const MAX_ROUNDS_WITHOUT_SLEEP: usize = 8;
 /// How long a coroutine sleeps to let others run.
 const YIELD_SLEEP: Duration = Duration::from_millis(5);
 
-/// A client connection that is registered and counts as open.
-pub struct Connection {
-    stream: TcpStream,
-    from: SocketAddr,
-    id: usize,
-    writer: Arc<ResponseWriter>,
-    /// Earliest time since which the connection may have waited in the listener's queue.
-    queued_since: Timestamp,
-}
-
-/// Registers a connection as soon as it is accepted. Its coroutine may start much later; without the registration,
-/// connections accepted meanwhile would exceed the number of file descriptors.
-pub(super) fn register(
-    state: &State,
-    stream: TcpStream,
-    from: SocketAddr,
-    queued_since: Timestamp,
-) -> Connection {
-    let _ = stream.set_nodelay(true);
-    let registered = state.client_connections.register(stream.waker(), state.clock.now());
-    let RegisteredConnection { id, writer } = registered;
-    Connection { stream, from, id, writer, queued_since }
-}
-
 /// Serves a connection until it ends, closes the socket and logs the reason.
-pub(super) fn serve(state: &Arc<State>, connection: Connection) {
-    let Connection { stream, from, id, writer, queued_since } = connection;
-    state.counters.update_gateway(|counters| {
-        counters.client_connections += 1;
-        counters.max_client_connections = counters.max_client_connections.max(state.client_connections.len());
-    });
-    let reason = MessageExchange::new(state, &stream, &writer, queued_since).run();
+pub(super) fn serve(state: &Arc<State>, accepted: AcceptedConnection) {
+    let account = state.response_memory.account();
+    let writer = Arc::new(ResponseWriter::new(accepted.connection.clone(), account));
+    let reason = MessageExchange::new(state, &accepted, &writer).run();
     for request in writer.cancel_all() {
         state.policy.record_disconnection(request);
     }
     writer.discard_unsent();
     // A client that sent no complete message has no response outstanding.
     if !reason.is_by_client() && writer.has_sent_message() {
-        linger(state, &stream);
+        linger(state, &accepted.stream);
     }
-    // The file descriptor is closed before the connection no longer counts as open.
-    drop(stream);
-    state.client_connections.unregister(id);
+    let from = accepted.from;
+    drop(accepted);
     info!(state.log, "client connection ended";
         "from" => from.to_string(), "reason" => reason.code(), "detail" => reason.detail());
 }
@@ -79,17 +46,15 @@
 struct MessageExchange<'a> {
     state: &'a Arc<State>,
     stream: &'a TcpStream,
+    connection: &'a Arc<ClientConnection>,
     writer: &'a Arc<ResponseWriter>,
     /// Account for the memory of the connection's input and requests.
     account: Arc<MemoryAccount>,
     inbox: Inbox,
-    /// Earliest time since which the connection may have waited in the listener's queue; `None` after the first read.
-    queued_since: Option<Timestamp>,
-    /// Set when the client violated the protocol. Further input is discarded, and outstanding responses are still sent.
-    protocol_error: Option<CloseReason>,
-    /// When the coroutine last began to wait for the socket; input may have arrived at any time since. Initially zero,
-    /// because a new connection may have waited in the listener's queue during a whole stall.
-    waiting_since: Timestamp,
+    input_clock: InputClock,
+    /// Set when the connection closes before its client does: it violated the protocol, or its place is needed. Further
+    /// input is discarded, and outstanding responses are still sent.
+    closing: Option<CloseReason>,
     /// Rounds since the coroutine last slept or waited.
     rounds: usize,
 }
@@ -97,20 +62,19 @@
 impl<'a> MessageExchange<'a> {
     fn new(
         state: &'a Arc<State>,
-        stream: &'a TcpStream,
+        accepted: &'a AcceptedConnection,
         writer: &'a Arc<ResponseWriter>,
-        queued_since: Timestamp,
     ) -> MessageExchange<'a> {
         let account = state.request_memory.account();
         MessageExchange {
             state,
-            stream,
+            stream: &accepted.stream,
+            connection: &accepted.connection,
             writer,
             inbox: Inbox::new(&account),
             account,
-            queued_since: Some(queued_since),
-            protocol_error: None,
-            waiting_since: Timestamp::default(),
+            input_clock: InputClock::new(accepted.queued_since),
+            closing: None,
             rounds: 0,
         }
     }
@@ -128,25 +92,31 @@
     fn run_round(&mut self) -> Result<(), CloseReason> {
         let written = self.writer.write(|bytes| transferred_bytes(self.stream.inner().write(bytes)))?;
         let is_backlogged = self.writer.is_backlogged();
-        let read = if is_backlogged { 0 } else { self.read()? };
+        let read = if is_backlogged {
+            self.input_clock.record_pause(self.state.clock.now());
+            0
+        } else {
+            self.read()?
+        };
         let has_input = !is_backlogged && (read > 0 || self.inbox.may_hold_more());
-        if self.protocol_error.is_some() {
+        if self.closing.is_some() {
             self.inbox = Inbox::new(&self.account);
         } else if has_input {
-            self.protocol_error =
-                requests::handle_messages(self.state, self.writer, &self.account, &mut self.inbox).err();
+            self.closing = self.handle_input().err();
         }
         let now = self.state.clock.now();
         if written + read > 0 || has_input {
-            self.writer.record_activity(now);
+            self.connection.update(|activity| activity.record_transfer(now));
             self.yield_to_others();
             return Ok(());
         }
         self.rounds = 0;
-        if let Some(reason) = self.close_reason(now) {
-            return Err(reason);
+        match self.close_reason(now) {
+            Some(CloseReason::Evicted) if self.reject_incomplete() => return Ok(()),
+            Some(reason) => return Err(reason),
+            None => {}
         }
-        self.waiting_since = now;
+        self.input_clock.record_wait(now);
         self.stream.wait_io();
         Ok(())
     }
@@ -155,17 +125,31 @@
     fn read(&mut self) -> Result<usize, CloseReason> {
         let starts_message = self.inbox.is_empty();
         let read = self.inbox.read(self.stream)?;
-        // Input that came while the connection waited in the listener's queue is there at the first read.
-        let queued_since = self.queued_since.take();
-        if read > 0 {
-            let sent =
-                self.state.stall_detector.earliest_send_time(self.waiting_since, self.state.clock.now());
-            let sent = queued_since.map_or(sent, |queued| queued.min(sent));
+        if let Some(sent) = self.input_clock.record_read(self.state, read) {
             self.inbox.record_send_time(sent, starts_message);
         }
         Ok(read)
     }
 
+    /// Handles the complete messages that were read, and records what is left.
+    fn handle_input(&mut self) -> Result<(), CloseReason> {
+        let handled = requests::handle_messages(self.state, self.writer, &self.account, &mut self.inbox)?;
+        let (has_complete, has_incomplete) = (handled > 0, !self.inbox.is_empty());
+        let now = self.state.clock.now();
+        self.connection.update(|activity| activity.record_messages(has_complete, has_incomplete, now));
+        Ok(())
+    }
+
+    /// Rejects a request of which only a part was received, because its connection is closed for another client. Returns
+    /// false if there is none.
+    fn reject_incomplete(&mut self) -> bool {
+        let message_id = self.inbox.incomplete_request_id().filter(|_| self.closing.is_none());
+        let Some(message_id) = message_id else { return false };
+        self.closing = Some(CloseReason::Evicted);
+        requests::reject_incomplete(self.state, self.writer, message_id);
+        true
+    }
+
     /// Yields to other coroutines. Sleeps after `MAX_ROUNDS_WITHOUT_SLEEP` rounds, or when the sockets were not
     /// polled for too long.
     fn yield_to_others(&mut self) {
@@ -187,25 +171,19 @@
     /// Why this gateway closes a connection without input or output, if so. A connection stays open while a response is
     /// outstanding that the client may still read.
     fn close_reason(&self, now: Timestamp) -> Option<CloseReason> {
-        let idle = now.since(self.writer.last_activity());
-        if self.writer.has_only_unsent_responses() && idle >= self.state.settings.unsent_response_timeout {
-            return Some(CloseReason::ResponsesUnread);
+        let is_busy = self.connection.update(|activity| activity.is_busy());
+        if self.writer.has_only_unsent_responses() {
+            let idle = self.connection.update(|activity| now.since(activity.last_activity()));
+            return (idle >= self.state.settings.unsent_response_timeout)
+                .then_some(CloseReason::ResponsesUnread);
         }
-        if !self.writer.is_idle() {
+        if is_busy {
             return None;
         }
-        if self.protocol_error.is_some() {
-            return self.protocol_error;
-        }
-        if self.writer.awaiting_message_since().is_some_and(|since| now.since(since) >= MESSAGE_TIMEOUT) {
-            return Some(CloseReason::IncompleteMessage);
-        }
-        if self.writer.should_close() {
-            return Some(CloseReason::Evicted);
-        }
-        if idle >= IDLE_TIMEOUT {
-            return Some(CloseReason::Idle);
+        if self.closing.is_some() {
+            return self.closing;
         }
-        self.state.shutdown.is_complete().then_some(CloseReason::ShuttingDown)
+        let end = self.connection.end(now).map(CloseReason::from);
+        end.or_else(|| self.state.shutdown.is_complete().then_some(CloseReason::ShuttingDown))
     }
 }
--- a/crates/gateway/src/client/message_pack/inbox.rs
+++ b/crates/gateway/src/client/message_pack/inbox.rs
@@ -72,6 +72,14 @@
         self.bytes.is_empty() && self.refused.is_none()
     }
 
+    /// Message id of the request of which a part was received; `None` if there is none, or its id is not known yet.
+    pub(super) fn incomplete_request_id(&self) -> Option<u32> {
+        match self.refused {
+            Some(RefusedMessage { message_id }) => message_id,
+            None => message_pack::request_message_id(&self.bytes),
+        }
+    }
+
     pub(super) fn may_hold_more(&self) -> bool {
         self.may_hold_more
     }
--- a/crates/gateway/src/client/message_pack/requests.rs
+++ b/crates/gateway/src/client/message_pack/requests.rs
@@ -13,13 +13,14 @@
 use larchfall_policy::time::Timestamp;
 use std::sync::{Arc, Mutex};
 
-/// Handles the complete messages in an inbox. Returns an error if the client violated the protocol.
+/// Handles the complete messages in an inbox, and returns their length in bytes. Returns an error if the client violated
+/// the protocol.
 pub(super) fn handle_messages(
     state: &Arc<State>,
     writer: &Arc<ResponseWriter>,
     account: &Arc<MemoryAccount>,
     inbox: &mut Inbox,
-) -> Result<(), CloseReason> {
+) -> Result<usize, CloseReason> {
     let mut handled = 0;
     while let Some(ReceivedMessage { message, length, sent }) = inbox.next(handled)? {
         handled += length;
@@ -61,8 +62,14 @@
         }
     }
     inbox.remove_handled(handled);
-    writer.record_read(handled > 0, !inbox.is_empty(), state.clock.now());
-    Ok(())
+    Ok(handled)
+}
+
+/// Rejects a request of which only a part was received, unless its message id is in use.
+pub(super) fn reject_incomplete(state: &State, writer: &ResponseWriter, message_id: u32) {
+    if register_message_id(writer, message_id).is_ok() {
+        reject_over_limits(state, writer, message_id);
+    }
 }
 
 /// Records a message id. Returns whether a request may be opened under it; a reused id ends the connection.
--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -1,8 +1,10 @@
-//! Client protocols, one module for each. Requests of both protocols are admitted by `crate::admission`; each protocol
-//! returns results in its own format.
+//! Client protocols, one module for each. Connections of both protocols are accepted by `listener`, and their requests
+//! are admitted by `crate::admission`; each protocol returns results in its own format.
 
 mod close_reason;
+mod input_clock;
 mod linger;
+mod listener;
 pub mod message_pack;
 pub mod paged_rest;
 mod readiness;
--- a/crates/gateway/src/client/paged_rest/connection.rs
+++ b/crates/gateway/src/client/paged_rest/connection.rs
@@ -1,195 +1,346 @@
-//! Serves one connection: reads calls and writes their responses, one call at a time.
+//! Serves one connection: reads calls and writes their responses, one call at a time. The coroutine waits for its socket
+//! only, also while a call waits for its page, whose arrival wakes it.
 
-use super::calls;
-use super::responses;
-use super::service::{OpenConnectionGuard, RestService};
+use super::calls::{self, CallOrigin, Target};
+use super::pages::AwaitedCall;
+use super::service::RestService;
+use super::{responses, statement};
 use crate::client::CloseReason;
+use crate::client::input_clock::InputClock;
 use crate::client::linger::linger;
+use crate::client::listener::AcceptedConnection;
+use crate::client::transfer::transferred_bytes;
 use crate::state::State;
 use crate::state::budgeted_buffer::BudgetedBuffer;
-use crate::state::clock::to_std_timeout;
-use crate::state::memory::{BudgetExceeded, MemoryAccount, Purpose};
+use crate::state::client_connections::ClientConnection;
+use crate::state::memory::{MemoryAccount, Purpose, Reservation};
+use crate::state::timers::WakeUp;
 use larchfall_paged_rest::call::{self, Call, CallError, Method, Progress, Response};
+use larchfall_paged_rest::page_address::PageAddress;
 use larchfall_policy::time::{Duration, Timestamp};
+use may::io::WaitIo;
 use may::net::TcpStream;
 use slog::info;
-use std::io::{ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::io::{Read, Write};
 use std::sync::Arc;
 
-/// Time within which the first call of a connection, and every call that has begun, must be complete.
-const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Idle time after which a connection is closed. Clients pause between pages, but a connection that is idle for longer
-/// takes the place of another client.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(10_000);
-/// Timeout for writing a response. A client that has not read the response by then is assumed not to read at all.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(10_000);
 /// Maximum number of bytes per read from the socket.
 const CHUNK_BYTES: usize = 4 * 1024;
-/// How often an idle connection checks whether the shutdown of this gateway is complete.
-const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum time for which a call queues for a slot.
+const MAX_QUEUE_TIME: Duration = Duration::from_millis(2_000);
 /// How long a coroutine sleeps to let others run.
 const YIELD_SLEEP: Duration = Duration::from_millis(5);
 
-/// Serves a connection until it ends, and logs the reason. `_guard` counts the connection as open until the socket has
-/// been closed.
-pub(super) fn serve(
-    state: &Arc<State>,
-    service: &Arc<RestService>,
-    stream: TcpStream,
-    from: SocketAddr,
-    _guard: OpenConnectionGuard,
-) {
-    let _ = stream.set_nodelay(true);
-    let reason = CallExchange::new(state, service, stream).run();
+/// Serves a connection until it ends, closes the socket and logs the reason.
+pub(super) fn serve(state: &Arc<State>, service: &Arc<RestService>, accepted: &AcceptedConnection) {
+    let mut exchange = CallExchange::new(state, service, accepted);
+    let reason = exchange.run();
+    exchange.end_waiting();
+    if !reason.is_by_client() && exchange.has_responded {
+        linger(state, &accepted.stream);
+    }
     info!(state.log, "paged REST connection ended";
-        "from" => from.to_string(), "reason" => reason.code(), "detail" => reason.detail());
+        "from" => accepted.from.to_string(), "reason" => reason.code(), "detail" => reason.detail());
+}
+
+/// A call that queues for a slot, with the memory of its body.
+struct QueuedCall {
+    call: Call,
+    page: Option<PageAddress>,
+    _memory: Reservation,
+    /// When the call is rejected, and what wakes the connection then; `None` until the call found no slot.
+    deadline: Option<(Timestamp, WakeUp)>,
 }
 
 /// The exchange of calls and responses on one connection.
 struct CallExchange<'a> {
     state: &'a Arc<State>,
     service: &'a Arc<RestService>,
-    stream: TcpStream,
+    stream: &'a TcpStream,
+    connection: &'a Arc<ClientConnection>,
     /// Account for the memory of the connection's input and requests.
     account: Arc<MemoryAccount>,
     input: BudgetedBuffer,
-    /// When the next call must be complete.
-    deadline: Timestamp,
+    input_clock: InputClock,
+    /// Earliest time at which the first byte of the next call may have been sent.
+    call_sent: Timestamp,
+    /// Earliest time at which the bytes that were read last may have been sent.
+    last_sent: Timestamp,
+    /// Whether input was read that was not looked at yet.
+    has_new_input: bool,
     /// Whether `100 Continue` was sent for the call that is being read.
     sent_continue: bool,
+    /// The call that queues for a slot; no other is read meanwhile.
+    queued: Option<QueuedCall>,
+    /// The call that waits for its page; no other is read meanwhile.
+    awaited: Option<AwaitedCall>,
+    /// The part of the response that is not written yet.
+    unsent: BudgetedBuffer,
+    /// Whether any response was written.
+    has_responded: bool,
+    /// Why the connection closes once the response is written.
+    closes: Option<CloseReason>,
 }
 
 impl<'a> CallExchange<'a> {
-    fn new(state: &'a Arc<State>, service: &'a Arc<RestService>, stream: TcpStream) -> CallExchange<'a> {
-        let deadline = state.clock.now() + CALL_TIMEOUT;
+    fn new(
+        state: &'a Arc<State>,
+        service: &'a Arc<RestService>,
+        accepted: &'a AcceptedConnection,
+    ) -> CallExchange<'a> {
         let account = state.request_memory.account();
         CallExchange {
             state,
             service,
-            stream,
+            stream: &accepted.stream,
+            connection: &accepted.connection,
             input: BudgetedBuffer::new(account.empty_reservation(Purpose::ClientInput)),
             account,
-            deadline,
+            input_clock: InputClock::new(accepted.queued_since),
+            call_sent: accepted.queued_since,
+            last_sent: accepted.queued_since,
+            has_new_input: false,
             sent_continue: false,
+            queued: None,
+            awaited: None,
+            unsent: BudgetedBuffer::new(state.response_memory.account().empty_reservation(Purpose::Response)),
+            has_responded: false,
+            closes: None,
         }
     }
 
-    /// Runs until the connection ends, and closes the socket.
-    fn run(mut self) -> CloseReason {
+    /// Runs until the connection ends.
+    fn run(&mut self) -> CloseReason {
         loop {
-            if let Err(reason) = self.process_input() {
+            if let Err(reason) = self.run_round() {
                 return reason;
             }
         }
     }
 
-    /// Responds to the next call if it is complete, or reads more input.
-    fn process_input(&mut self) -> Result<(), CloseReason> {
-        match call::decode(&self.input, self.service.settings().max_statement_bytes) {
+    /// Does what can be done without waiting. If that was nothing, closes the connection where due, or waits for the
+    /// socket.
+    fn run_round(&mut self) -> Result<(), CloseReason> {
+        let has_progressed = self.make_progress()?;
+        let is_busy = self.awaited.is_some() || !self.unsent.is_empty();
+        self.connection.update(|activity| activity.set_busy(is_busy));
+        if has_progressed {
+            self.yield_to_others();
+            return Ok(());
+        }
+        let now = self.state.clock.now();
+        match self.close_reason(now) {
+            Some(CloseReason::Evicted) if self.queued.is_some() => {
+                self.closes = Some(CloseReason::Evicted);
+                self.reject_queued();
+                return Ok(());
+            }
+            Some(CloseReason::Evicted) if !self.input.is_empty() => {
+                let response = responses::over_limits(self.state);
+                self.respond_and_close(&response, CloseReason::Evicted);
+                return Ok(());
+            }
+            Some(reason) => return Err(reason),
+            None => {}
+        }
+        self.input_clock.record_wait(now);
+        self.stream.wait_io();
+        Ok(())
+    }
+
+    /// Takes the next step of the exchange. Returns false if it has to wait for the client or for a page.
+    fn make_progress(&mut self) -> Result<bool, CloseReason> {
+        if !self.unsent.is_empty() {
+            self.pause_reading();
+            return self.write();
+        }
+        if let Some(reason) = self.closes {
+            return Err(reason);
+        }
+        if let Some(queued) = self.queued.take() {
+            self.pause_reading();
+            return Ok(self.start_queued(queued));
+        }
+        if let Some(awaited) = &self.awaited {
+            let (response, method) = (awaited.poll(self.state, self.service), awaited.method());
+            self.pause_reading();
+            return Ok(response.map(|response| self.respond(&response, method)).is_some());
+        }
+        if self.has_new_input {
+            self.has_new_input = false;
+            return self.process_input();
+        }
+        self.read()
+    }
+
+    fn pause_reading(&mut self) {
+        let now = self.state.clock.now();
+        self.input_clock.record_pause(now);
+    }
+
+    /// Handles the next call if it is complete.
+    fn process_input(&mut self) -> Result<bool, CloseReason> {
+        let decoded = call::decode(&self.input, self.service.settings().max_statement_bytes);
+        let is_complete = matches!(decoded, Ok(Progress::Complete { .. }));
+        match decoded {
             Ok(Progress::Complete { call, length }) => {
                 self.input.remove_front(length);
-                self.respond(&call)
+                self.has_new_input = !self.input.is_empty();
+                self.handle(call);
             }
             Ok(Progress::ExpectsContinue) if !self.sent_continue => {
                 self.sent_continue = true;
-                self.write(call::CONTINUE_RESPONSE)?;
-                self.read()
+                self.unsent.append_with(|unsent| unsent.extend_from_slice(call::CONTINUE_RESPONSE));
             }
-            Ok(Progress::Incomplete | Progress::ExpectsContinue) => self.read(),
-            Err(error) => Err(self.reject_malformed(error)),
+            Ok(Progress::Incomplete | Progress::ExpectsContinue) => {}
+            Err(error) => self.reject_malformed(error),
         }
+        let (has_rest, now) = (!self.input.is_empty(), self.state.clock.now());
+        self.connection.update(|activity| activity.record_messages(is_complete, has_rest, now));
+        Ok(true)
     }
 
-    /// Handles a call, writes its response, and starts the timeout of the next call.
-    fn respond(&mut self, call: &Call) -> Result<(), CloseReason> {
-        let closes = call.closes_connection || self.state.shutdown.is_complete();
-        let response = match self.account.reserve(Purpose::ClientInput, call.body.len()) {
-            Ok(_held_while_handled) => calls::handle(self.state, self.service, &self.account, call),
-            Err(BudgetExceeded) => self.over_memory_budget(),
+    /// Handles a call: responds to it, begins to wait for its page, or queues for a slot.
+    fn handle(&mut self, call: Call) {
+        self.sent_continue = false;
+        if call.closes_connection {
+            self.closes = Some(CloseReason::CloseRequested);
+        } else if self.state.shutdown.is_complete() {
+            self.closes = Some(CloseReason::ShuttingDown);
+        }
+        let page = match calls::dispatch(self.state, self.service, &call) {
+            Target::Immediate(response) => return self.respond(&response, call.method),
+            Target::Page(page) => Some(page),
+            Target::Statement => None,
         };
-        self.write(&response.encode(closes, call.method))?;
-        if closes {
-            return Err(if call.closes_connection {
-                CloseReason::CloseRequested
-            } else {
-                CloseReason::ShuttingDown
+        let Ok(memory) = self.account.reserve(Purpose::ClientInput, call.body.len()) else {
+            let response = responses::over_limits(self.state);
+            return self.respond(&response, call.method);
+        };
+        self.start_queued(QueuedCall { call, page, _memory: memory, deadline: None });
+    }
+
+    /// Starts a call if there is a slot for it. Returns false if it still queues.
+    fn start_queued(&mut self, mut queued: QueuedCall) -> bool {
+        let Some(slot) = self.service.acquire_call_slot(self.connection) else {
+            let now = self.state.clock.now();
+            let (deadline, _) = queued.deadline.get_or_insert_with(|| {
+                let deadline = now + MAX_QUEUE_TIME;
+                (deadline, self.state.timers.wake_at(deadline, self.connection))
             });
+            let is_overdue = now >= *deadline;
+            self.queued = Some(queued);
+            return is_overdue && self.reject_queued();
+        };
+        let origin =
+            CallOrigin { connection: self.connection, account: &self.account, sent: self.call_sent, slot };
+        let QueuedCall { call, page, .. } = queued;
+        let started = match page {
+            Some(page) => Ok(AwaitedCall::for_page(self.state, self.service, origin, &call, page)),
+            None => statement::submit(self.state, self.service, origin, &call),
+        };
+        match started {
+            Ok(awaited) => self.awaited = Some(awaited),
+            Err(response) => self.respond(&response, call.method),
         }
-        self.yield_to_others();
-        self.sent_continue = false;
-        let timeout = if self.input.is_empty() { IDLE_TIMEOUT } else { CALL_TIMEOUT };
-        self.deadline = self.state.clock.now() + timeout;
-        Ok(())
+        true
     }
 
-    /// Responds to malformed input with an error. The connection is closed afterwards.
-    fn reject_malformed(&mut self, error: CallError) -> CloseReason {
-        let response = responses::invalid_call(error.status(), &error.to_string());
-        self.write_last(&response);
-        CloseReason::MalformedCall(error)
+    /// Rejects the call that queues for a slot. Returns false if there is none.
+    fn reject_queued(&mut self) -> bool {
+        let Some(queued) = self.queued.take() else { return false };
+        self.service.leave_call_queue(self.connection);
+        let response = responses::over_limits(self.state);
+        self.respond(&response, queued.call.method);
+        true
     }
 
-    /// Writes the last response of a connection on which more input may arrive.
-    fn write_last(&mut self, response: &Response) {
-        if self.write(&response.encode(true, Method::Other)).is_ok() {
-            linger(self.state, &self.stream);
-        }
+    /// Queues the response to the call with this method.
+    fn respond(&mut self, response: &Response, method: Method) {
+        self.awaited = None;
+        self.call_sent = self.last_sent;
+        self.has_responded = true;
+        let bytes = response.encode(self.closes.is_some(), method);
+        self.unsent.append_with(|unsent| unsent.extend_from_slice(&bytes));
     }
 
-    /// Counts a call that the memory budget does not admit, and returns its response.
-    fn over_memory_budget(&self) -> Response {
-        self.state.counters.update_gateway(|counters| counters.over_limits += 1);
-        responses::rejected(self.state.settings.max_retry_after)
+    /// Queues the last response of the connection.
+    fn respond_and_close(&mut self, response: &Response, reason: CloseReason) {
+        self.closes = Some(reason);
+        self.respond(response, Method::Other);
     }
 
-    /// Rejects a call of which only a part was received. The connection is closed afterwards, since the rest of the call
-    /// is not read.
-    fn reject_incomplete(&mut self) -> CloseReason {
-        let response = self.over_memory_budget();
-        self.write_last(&response);
-        CloseReason::OverMemoryBudget
+    /// Responds to malformed input with an error.
+    fn reject_malformed(&mut self, error: CallError) {
+        let response = responses::invalid_call(error.status(), &error.to_string());
+        self.respond_and_close(&response, CloseReason::MalformedCall(error));
     }
 
-    /// Reads more input. Waits for at most `SHUTDOWN_CHECK_INTERVAL`.
-    fn read(&mut self) -> Result<(), CloseReason> {
-        if self.state.shutdown.is_complete() {
-            return Err(CloseReason::ShuttingDown);
-        }
-        let remaining = self.state.clock.remaining(self.deadline);
-        if remaining.is_zero() {
-            let idle = self.input.is_empty();
-            return Err(if idle { CloseReason::Idle } else { CloseReason::IncompleteMessage });
-        }
-        let _ = self.stream.set_read_timeout(Some(remaining.min(to_std_timeout(SHUTDOWN_CHECK_INTERVAL))));
+    /// Reads more input. Rejects the call if the memory budget does not admit it; the rest of the call is not read.
+    fn read(&mut self) -> Result<bool, CloseReason> {
         let starts_call = self.input.is_empty();
         let room = self.input.next_read_bytes(CHUNK_BYTES);
         if room == 0 {
-            return Err(self.reject_incomplete());
+            let response = responses::over_limits(self.state);
+            self.respond_and_close(&response, CloseReason::OverMemoryBudget);
+            return Ok(true);
         }
         let mut chunk = [0; CHUNK_BYTES];
-        match self.stream.read(&mut chunk[..room]) {
-            Ok(0) => return Err(CloseReason::ClientClosed),
-            Ok(count) => {
-                self.yield_to_others();
-                self.input.append_with(|input| input.extend_from_slice(&chunk[..count]));
-                if starts_call {
-                    self.deadline = self.state.clock.now() + CALL_TIMEOUT;
-                }
-            }
-            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {}
-            Err(_) => return Err(CloseReason::ClientReset),
+        let mut socket = self.stream.inner();
+        let result = socket.read(&mut chunk[..room]);
+        if matches!(result, Ok(0)) {
+            return Err(CloseReason::ClientClosed);
         }
-        Ok(())
+        let count = transferred_bytes(result)?;
+        let Some(sent) = self.input_clock.record_read(self.state, count) else { return Ok(false) };
+        self.input.append_with(|input| input.extend_from_slice(&chunk[..count]));
+        self.has_new_input = true;
+        self.last_sent = sent;
+        if starts_call {
+            self.call_sent = sent;
+        }
+        self.record_transfer();
+        Ok(true)
     }
 
-    /// Writes a complete response. A timeout counts as a client that doesn't read.
-    fn write(&mut self, bytes: &[u8]) -> Result<(), CloseReason> {
-        let _ = self.stream.set_write_timeout(Some(to_std_timeout(WRITE_TIMEOUT)));
-        self.stream.write_all(bytes).map_err(|e| match e.kind() {
-            ErrorKind::TimedOut | ErrorKind::WouldBlock => CloseReason::ResponsesUnread,
-            _ => CloseReason::ClientReset,
-        })
+    /// Writes as much of the response as the socket takes.
+    fn write(&mut self) -> Result<bool, CloseReason> {
+        let mut socket = self.stream.inner();
+        let written = transferred_bytes(socket.write(&self.unsent))?;
+        self.unsent.remove_front(written);
+        if written > 0 {
+            self.record_transfer();
+        }
+        Ok(written > 0)
+    }
+
+    fn record_transfer(&self) {
+        let now = self.state.clock.now();
+        self.connection.update(|activity| activity.record_transfer(now));
+    }
+
+    /// Why this gateway closes a connection without input or output, if so.
+    fn close_reason(&mut self, now: Timestamp) -> Option<CloseReason> {
+        if !self.unsent.is_empty() {
+            let idle = self.connection.update(|activity| now.since(activity.last_activity()));
+            return (idle >= self.state.settings.unsent_response_timeout)
+                .then_some(CloseReason::ResponsesUnread);
+        }
+        if self.awaited.is_some() {
+            return None;
+        }
+        let end = self.connection.end(now).map(CloseReason::from);
+        end.or_else(|| self.state.shutdown.is_complete().then_some(CloseReason::ShuttingDown))
+    }
+
+    /// Ends the wait of a call whose connection has ended.
+    fn end_waiting(&mut self) {
+        if self.queued.take().is_some() {
+            self.service.leave_call_queue(self.connection);
+        }
+        if let Some(awaited) = self.awaited.take() {
+            awaited.stop_waiting(self.service);
+        }
     }
 
     /// Sleeps while the sockets were not polled for too long. The worker doesn't poll them while any coroutine is ready
--- a/crates/gateway/src/client/paged_rest/responses.rs
+++ b/crates/gateway/src/client/paged_rest/responses.rs
@@ -1,5 +1,6 @@
 //! Responses other than pages.
 
+use crate::state::State;
 use larchfall_paged_rest::call::Response;
 use larchfall_paged_rest::document::QueryError;
 use larchfall_policy::time::Duration;
@@ -33,3 +34,9 @@
     let headers = vec![("Retry-After", seconds.to_string())];
     Response { headers, ..error_response(429, &QueryError::rejected(milliseconds)) }
 }
+
+/// The rejection of a call that one of the gateway's limits does not admit, which is counted.
+pub(super) fn over_limits(state: &State) -> Response {
+    state.counters.update_gateway(|counters| counters.over_limits += 1);
+    rejected(state.settings.max_retry_after)
+}
--- a/crates/gateway/src/client/paged_rest/service.rs
+++ b/crates/gateway/src/client/paged_rest/service.rs
@@ -1,25 +1,24 @@
 //! State of the paged REST service that its connections share.
 
+use crate::state::client_connections::ClientConnection;
 use crate::state::lock;
 use crate::state::result_pages::ResultPages;
 use larchfall_operator_config::PagedRestConfig;
+use larchfall_paged_rest::call_slots::CallSlots;
 use larchfall_paged_rest::page_address::AddressKey;
 use nanorand::{Rng, WyRand};
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
-/// Settings, open results and connection count of the service.
+/// Settings, open results and slots of waiting calls of the service.
 pub struct RestService {
     settings: Mutex<Arc<PagedRestConfig>>,
-    /// Set at startup; a reload of the settings doesn't change limits.
-    max_connections: usize,
     /// Pages of all open results.
     pub pages: ResultPages,
     pub(super) address_key: AddressKey,
     /// Generator of request ids.
     request_ids: Mutex<WyRand>,
-    /// Number of open connections.
-    connections: AtomicUsize,
+    /// Slots of calls that wait for pages. Set at startup; a reload of the settings doesn't change limits.
+    call_slots: Mutex<CallSlots<Arc<ClientConnection>>>,
 }
 
 impl RestService {
@@ -29,11 +28,10 @@
         let mut secret = [0; 32];
         getrandom::fill(&mut secret)?;
         Ok(RestService {
-            max_connections: settings.max_connections,
             pages: ResultPages::new(settings.limits),
             address_key: AddressKey::new(&secret),
             request_ids: Mutex::new(WyRand::new_seed(!seed)),
-            connections: AtomicUsize::new(0),
+            call_slots: Mutex::new(CallSlots::new(settings.max_connections)),
             settings: Mutex::new(Arc::new(settings)),
         })
     }
@@ -53,30 +51,42 @@
         lock(&self.request_ids).generate()
     }
 
-    /// Number of open connections.
-    pub fn open_connections(&self) -> usize {
-        self.connections.load(Ordering::Relaxed)
+    /// Returns a slot for a call of this connection that may wait for a page. Returns `None` if there is none; the
+    /// connection then queues for one, and is woken when it has to ask again.
+    pub(super) fn acquire_call_slot(
+        self: &Arc<Self>,
+        connection: &Arc<ClientConnection>,
+    ) -> Option<CallSlot> {
+        let mut slots = lock(&self.call_slots);
+        let is_granted = slots.acquire(connection);
+        let next = slots.next_caller().filter(|_| is_granted);
+        drop(slots);
+        wake(next);
+        is_granted.then(|| CallSlot { service: self.clone() })
     }
 
-    /// Whether the connection limit is reached.
-    pub(super) fn is_full(&self) -> bool {
-        self.open_connections() >= self.max_connections
+    /// Takes a connection out of the queue for slots.
+    pub(super) fn leave_call_queue(&self, connection: &Arc<ClientConnection>) {
+        let next = lock(&self.call_slots).leave(connection);
+        wake(next);
     }
+}
 
-    /// Counts a connection as open until the returned guard is dropped.
-    pub(super) fn register_connection(self: &Arc<Self>) -> OpenConnectionGuard {
-        self.connections.fetch_add(1, Ordering::Relaxed);
-        OpenConnectionGuard { service: self.clone() }
+fn wake(connection: Option<Arc<ClientConnection>>) {
+    if let Some(connection) = connection {
+        connection.wake();
     }
 }
 
-/// Counts a connection as open until dropped, also when the connection's coroutine panics.
-pub(super) struct OpenConnectionGuard {
+/// A slot of a call that may wait for a page. It is given back when this is dropped, also when the connection's coroutine
+/// panics.
+pub(super) struct CallSlot {
     service: Arc<RestService>,
 }
 
-impl Drop for OpenConnectionGuard {
+impl Drop for CallSlot {
     fn drop(&mut self) {
-        self.service.connections.fetch_sub(1, Ordering::Relaxed);
+        let next = lock(&self.service.call_slots).release();
+        wake(next);
     }
 }
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -42,7 +42,7 @@
     let kill_time = deadline + FINAL_ANSWER_TIME;
     wait_until_all_answered(state, service, requested_at, kill_time);
     info!(state.log, "shutdown complete"; "in_flight" => state.policy.in_flight(), "clients" => state.client_connections.len());
-    close_connections(state, service, kill_time);
+    close_connections(state, kill_time);
 }
 
 /// Returns the time by which the policy ends all requests, early enough to send their answers before SIGKILL.
@@ -71,15 +71,14 @@
 }
 
 /// Closes all open connections and gives each time to write its last log line.
-fn close_connections(state: &State, service: Option<&Arc<RestService>>, kill_time: Timestamp) {
+fn close_connections(state: &State, kill_time: Timestamp) {
     state.shutdown.mark_complete();
-    state.client_connections.wake_overdue(state.clock.now(), state.clock.now());
+    state.client_connections.wake_all();
     let log_deadline = state.clock.now() + LAST_LOG_TIME;
-    let open_connections =
-        || state.client_connections.len() + service.map_or(0, |service| service.open_connections());
     // A request that was read after the last check was admitted, and must be answered like all others.
     let must_wait = |now| {
-        (has_pending_answers(state) && now < kill_time) || (open_connections() > 0 && now < log_deadline)
+        (has_pending_answers(state) && now < kill_time)
+            || (!state.client_connections.is_empty() && now < log_deadline)
     };
     while must_wait(state.clock.now()) {
         state.sleep(POLL_INTERVAL);
--- a/crates/gateway/src/startup/state.rs
+++ b/crates/gateway/src/startup/state.rs
@@ -3,7 +3,7 @@
 use crate::discovery;
 use crate::engine::cancellation::UNOBSERVED_ATTEMPT_LIFETIME;
 use crate::state::State;
-use crate::state::client_connections::ClientConnections;
+use crate::state::client_connections::{ClientConnections, ConnectionLimits};
 use crate::state::clock::Clock;
 use crate::state::connection_pool::ConnectionPool;
 use crate::state::counters::Counters;
@@ -47,7 +47,6 @@
     };
     let timers = Arc::new(Timers::new(clock));
     let policy = Policy::new(seed, PolicyConfig { capabilities, ..platform.policy });
-    let response_memory = MemoryPool::new(limits.response_memory);
     State {
         clock,
         stall_detector: StallDetector::start(clock.now()),
@@ -58,8 +57,11 @@
         request_memory: MemoryPool::new(limits.request_memory),
         policy: PolicyHandle::new(policy, clock, timers.clone()),
         timers,
-        client_connections: ClientConnections::new(response_memory.clone()),
-        response_memory,
+        client_connections: ClientConnections::new(ConnectionLimits {
+            total: limits.all_client_connections,
+            message_pack: limits.client_connections,
+        }),
+        response_memory: MemoryPool::new(limits.response_memory),
         engine_connections: Arc::new(ConnectionPool::new(
             limits.engine_connections,
             platform.engine_idle_timeout,
--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -39,7 +39,9 @@
 /// Upper bounds of the resources that the transport uses at the same time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
-    /// Maximum number of open client connections.
+    /// Maximum number of open client connections of all protocols.
+    pub all_client_connections: usize,
+    /// Maximum number of open client connections of MessagePack-RPC.
     pub client_connections: usize,
     /// Maximum number of open connections to engines.
     pub engine_connections: usize,
@@ -61,6 +63,7 @@
         let client_connections = CLIENT_DESCRIPTOR_FRACTION.of(descriptors);
         let request_bytes = memory / REQUEST_MEMORY_DIVISOR;
         let limits = Limits {
+            all_client_connections: client_connections,
             client_connections,
             engine_connections: ENGINE_DESCRIPTOR_FRACTION.of(descriptors),
             request_memory: MemoryBudget::new(request_bytes, clients, MIN_REQUEST_SHARE_BYTES),
--- a/crates/gateway/src/state/mod.rs
+++ b/crates/gateway/src/state/mod.rs
@@ -61,7 +61,7 @@
     pub response_memory: Arc<MemoryPool>,
     /// The policy, the endpoint list and the requests in flight.
     pub policy: PolicyHandle,
-    /// Open MessagePack-RPC client connections.
+    /// Open client connections of all protocols.
     pub client_connections: ClientConnections,
     /// Pool of connections to engines.
     pub engine_connections: Arc<ConnectionPool>,
--- a/crates/gateway/src/state/result_pages.rs
+++ b/crates/gateway/src/state/result_pages.rs
@@ -1,14 +1,13 @@
-//! Open results of the paged REST protocol, and the coroutines that wait for their pages. `larchfall_paged_rest`
-//! decides which page a call gets and when a result expires; this module blocks and wakes the waiting coroutines.
+//! Open results of the paged REST protocol, and the connections that wait for their pages. `larchfall_paged_rest` decides
+//! which page a call gets and when a result expires; this module wakes the coroutines of the waiting connections.
 
+use super::client_connections::ClientConnection;
 use super::lock;
-use super::timers::Timers;
 use larchfall_paged_rest::cursor::{Page, PageLookup, ResultEnd, ResultOutcome};
 use larchfall_paged_rest::document::PageContent;
 use larchfall_paged_rest::page_address::PageAddress;
 use larchfall_paged_rest::results::{AbandonedResult, ResultId, ResultLimits, ResultStore};
-use larchfall_policy::time::{Duration, Timestamp};
-use may::sync::Blocker;
+use larchfall_policy::time::Timestamp;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
@@ -19,18 +18,21 @@
 
 struct OpenResults {
     results: ResultStore<PageContent>,
-    /// Coroutines that wait for a page, by the index of the result.
-    waiters: HashMap<usize, Vec<Arc<Blocker>>>,
+    /// Connections that wait for a page, by the index of the result.
+    waiters: HashMap<usize, Vec<Arc<ClientConnection>>>,
 }
 
 impl OpenResults {
-    fn add_waiter(&mut self, id: ResultId, blocker: &Arc<Blocker>) {
-        self.waiters.entry(id.index).or_default().push(blocker.clone());
+    fn add_waiter(&mut self, id: ResultId, connection: &Arc<ClientConnection>) {
+        let waiters = self.waiters.entry(id.index).or_default();
+        if !waiters.iter().any(|other| Arc::ptr_eq(other, connection)) {
+            waiters.push(connection.clone());
+        }
     }
 
-    fn remove_waiter(&mut self, id: ResultId, blocker: &Arc<Blocker>) {
+    fn remove_waiter(&mut self, id: ResultId, connection: &Arc<ClientConnection>) {
         if let Some(waiters) = self.waiters.get_mut(&id.index) {
-            waiters.retain(|other| !Arc::ptr_eq(other, blocker));
+            waiters.retain(|other| !Arc::ptr_eq(other, connection));
             if waiters.is_empty() {
                 self.waiters.remove(&id.index);
             }
@@ -61,14 +63,14 @@
         update(&mut lock(&self.open).results)
     }
 
-    /// Updates a result and wakes all coroutines that wait for a page of this result.
+    /// Updates a result and wakes all connections that wait for a page of this result.
     fn update_and_wake<R>(&self, id: ResultId, update: impl FnOnce(&mut ResultStore<PageContent>) -> R) -> R {
         let mut open = lock(&self.open);
         let updated = update(&mut open.results);
         let waiters = open.waiters.remove(&id.index).unwrap_or_default();
         drop(open);
-        for blocker in waiters {
-            blocker.unpark();
+        for connection in waiters {
+            connection.wake();
         }
         updated
     }
@@ -106,35 +108,35 @@
         self.update(|results| results.restart(id))
     }
 
-    /// Waits up to `timeout` for the page at this address. If the page is not ready by then, `empty_page` creates a
-    /// page without rows in its place.
-    pub fn wait_for_page(
+    /// Returns the page at this address, or `None` if it is not ready; the connection is woken when that may have
+    /// changed. If `empty_page` is given, such a page without rows takes the place of one that is not ready.
+    pub fn poll_page(
         &self,
         address: PageAddress,
-        timers: &Timers,
-        timeout: Duration,
-        empty_page: impl Fn() -> PageContent,
-    ) -> AwaitedPage {
-        let deadline = timers.clock().now() + timeout;
-        loop {
-            let blocker = Blocker::current();
-            let mut open = lock(&self.open);
-            let now = timers.clock().now();
-            if now >= deadline {
-                open.results.push_empty_page(address.result, address.token, empty_page());
-            }
-            match open.results.get(address.result, address.token, now) {
-                PageLookup::Found { page, outcome } => {
-                    return AwaitedPage::Page(page, outcome);
-                }
-                PageLookup::Gone => return AwaitedPage::Gone,
-                PageLookup::Unknown => return AwaitedPage::Unknown,
-                PageLookup::NotReady => open.add_waiter(address.result, &blocker),
-            }
-            drop(open);
-            timers.park_until(&blocker, deadline);
-            lock(&self.open).remove_waiter(address.result, &blocker);
+        connection: &Arc<ClientConnection>,
+        now: Timestamp,
+        empty_page: Option<PageContent>,
+    ) -> Option<AwaitedPage> {
+        let mut open = lock(&self.open);
+        if let Some(empty_page) = empty_page {
+            open.results.push_empty_page(address.result, address.token, empty_page);
         }
+        let awaited = match open.results.get(address.result, address.token, now) {
+            PageLookup::Found { page, outcome } => AwaitedPage::Page(page, outcome),
+            PageLookup::Gone => AwaitedPage::Gone,
+            PageLookup::Unknown => AwaitedPage::Unknown,
+            PageLookup::NotReady => {
+                open.add_waiter(address.result, connection);
+                return None;
+            }
+        };
+        open.remove_waiter(address.result, connection);
+        Some(awaited)
+    }
+
+    /// Records that a connection no longer waits for a page of this result.
+    pub fn stop_waiting(&self, id: ResultId, connection: &Arc<ClientConnection>) {
+        lock(&self.open).remove_waiter(id, connection);
     }
 
     /// Abandons a result at its client's request.
--- a/crates/gateway/src/state/timers.rs
+++ b/crates/gateway/src/state/timers.rs
@@ -6,6 +6,7 @@
 //! never woken. Second, a coroutine that the library's timer wakes runs on the timer's thread, concurrently with the
 //! worker, and a wait on a socket there corrupts lists that only the worker may access.
 
+use super::client_connections::ClientConnection;
 use super::clock::Clock;
 use super::deadline_queue::DeadlineQueue;
 use super::lock;
@@ -23,11 +24,41 @@
 #[derive(Default)]
 struct Waiters {
     deadlines: DeadlineQueue,
-    blockers: Slab<Arc<Blocker>>,
+    waiters: Slab<Waiter>,
     /// Wakes the timer thread; `None` until the timer thread has run for the first time.
     timer_thread: Option<Arc<Blocker>>,
 }
 
+/// What is woken at a deadline.
+enum Waiter {
+    /// A coroutine that is parked.
+    Parked(Arc<Blocker>),
+    /// The coroutine of a client connection, which waits for its socket.
+    Connection(Arc<ClientConnection>),
+}
+
+impl Waiter {
+    fn wake(&self) {
+        match self {
+            Waiter::Parked(blocker) => blocker.unpark(),
+            Waiter::Connection(connection) => connection.wake(),
+        }
+    }
+}
+
+/// Wakes the coroutine of a client connection at a deadline, unless it is dropped before.
+pub struct WakeUp {
+    timers: Arc<Timers>,
+    deadline: Timestamp,
+    waiter: usize,
+}
+
+impl Drop for WakeUp {
+    fn drop(&mut self) {
+        self.timers.remove(self.deadline, self.waiter);
+    }
+}
+
 impl Timers {
     /// Creates timers without waiters, whose deadlines refer to `clock`.
     pub fn new(clock: Clock) -> Timers {
@@ -42,17 +73,21 @@
     /// Parks the calling coroutine until `blocker` is woken or the deadline has passed. The coroutine resumes on the
     /// worker's thread in either case.
     pub fn park_until(&self, blocker: &Arc<Blocker>, deadline: Timestamp) {
-        let waiter = self.register(blocker, deadline);
+        let waiter = self.register(Waiter::Parked(blocker.clone()), deadline);
         let _ = blocker.park(None);
-        let mut waiters = lock(&self.waiters);
-        waiters.deadlines.remove(deadline, waiter);
-        waiters.blockers.remove(waiter);
+        self.remove(deadline, waiter);
+    }
+
+    /// Wakes the coroutine of a connection at a deadline.
+    pub fn wake_at(self: &Arc<Timers>, deadline: Timestamp, connection: &Arc<ClientConnection>) -> WakeUp {
+        let waiter = self.register(Waiter::Connection(connection.clone()), deadline);
+        WakeUp { timers: self.clone(), deadline, waiter }
     }
 
     /// Adds a waiter, and wakes the timer thread if the waiter's deadline is now the earliest.
-    fn register(&self, blocker: &Arc<Blocker>, deadline: Timestamp) -> usize {
+    fn register(&self, waiter: Waiter, deadline: Timestamp) -> usize {
         let mut waiters = lock(&self.waiters);
-        let waiter = waiters.blockers.insert(blocker.clone());
+        let waiter = waiters.waiters.insert(waiter);
         if waiters.deadlines.insert(deadline, waiter)
             && let Some(timer_thread) = &waiters.timer_thread
         {
@@ -61,6 +96,12 @@
         waiter
     }
 
+    fn remove(&self, deadline: Timestamp, waiter: usize) {
+        let mut waiters = lock(&self.waiters);
+        waiters.deadlines.remove(deadline, waiter);
+        waiters.waiters.remove(waiter);
+    }
+
     /// Blocks the calling coroutine for this long.
     pub fn sleep(&self, duration: Duration) {
         self.park_until(&Blocker::current(), self.clock.now() + duration);
@@ -72,8 +113,8 @@
         let mut waiters = lock(&self.waiters);
         waiters.timer_thread = Some(timer_thread.clone());
         for waiter in waiters.deadlines.take_due(self.clock.now()) {
-            if let Some(blocker) = waiters.blockers.get(waiter) {
-                blocker.unpark();
+            if let Some(waiter) = waiters.waiters.get(waiter) {
+                waiter.wake();
             }
         }
         waiters.deadlines.earliest()
@@ -81,6 +122,6 @@
 
     /// Number of waiting coroutines.
     pub fn waiting(&self) -> usize {
-        lock(&self.waiters).blockers.len()
+        lock(&self.waiters).waiters.len()
     }
 }
--- a/crates/gateway/src/timer.rs
+++ b/crates/gateway/src/timer.rs
@@ -1,7 +1,6 @@
 //! The timer thread. It wakes coroutines whose deadline has passed and does the gateway's periodic work. As a separate
 //! thread that never waits on a socket, it runs on time even while the worker is busy.
 
-use crate::client::message_pack::{IDLE_TIMEOUT, MESSAGE_TIMEOUT};
 use crate::client::paged_rest::{self, RestService};
 use crate::engine::load_report;
 use crate::state::State;
@@ -67,7 +66,7 @@
 fn close_expired_connections(state: &State) {
     let now = state.clock.now();
     state.engine_connections.close_expired(now);
-    state.client_connections.wake_overdue(now - IDLE_TIMEOUT, now - MESSAGE_TIMEOUT);
+    state.client_connections.wake_overdue(now);
 }
 
 /// A socket pair without traffic that detects when the worker polls the sockets for events. A read on the pair can only
--- a/crates/gateway/tests/gateway/client_isolation.rs
+++ b/crates/gateway/tests/gateway/client_isolation.rs
@@ -3,14 +3,19 @@
 use crate::common::{Gateway, config, operator_config};
 use larchfall_fault_tests::recording_engine::RecordingEngine;
 use larchfall_fault_tests::usual_clients::{
-    Figures, Outcome, PROTOCOLS, Protocol, TIMEOUT, USUAL_STATEMENT, UsualClients, raw_connection,
+    Connection, Figures, Outcome, PROTOCOLS, Protocol, RequestText, TIMEOUT, USUAL_STATEMENT, UsualClients,
+    next_id, raw_connection,
 };
 use larchfall_stub::discovery::Discovery;
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Time after the departure of a client within which its requests may still be sent to an engine.
+const DEPARTURE_GRACE: Duration = Duration::from_millis(100);
 
 /// What the platform and the operator give a gateway.
 #[derive(Clone, Copy, Debug)]
@@ -110,3 +115,62 @@
     assert_served(&message_pack, "MessagePack");
     assert!(test_bed.engine.count(USUAL_STATEMENT) >= message_pack.count(Outcome::Served));
 }
+
+/// What clients by hundreds leave on their connections.
+#[derive(Clone, Copy, Debug)]
+enum Left {
+    Nothing,
+    HalfARequest,
+}
+
+/// Connects usual clients after others that hold their connections open and send nothing more.
+fn serve_beside_waiting_connections(limits: Limits, connections: usize, left: Left) {
+    const USUAL_CLIENTS: usize = 6;
+    for protocol in PROTOCOLS {
+        let test_bed = TestBed::start(limits);
+        let address = test_bed.address(protocol);
+        let id = next_id();
+        let request = RequestText { class: "look", id: &id, key: "7", statement: &" ".repeat(2000) };
+        let request = request.encode(protocol, address, 1);
+        let waiting: Vec<TcpStream> = (0..connections)
+            .filter_map(|_| {
+                let mut stream = raw_connection(address)?;
+                if let Left::HalfARequest = left {
+                    let _ = stream.write_all(&request[..request.len() / 2]);
+                }
+                Some(stream)
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(300));
+        let usual: Vec<JoinHandle<Outcome>> = (0..USUAL_CLIENTS)
+            .map(|_| thread::spawn(move || Connection::open(protocol, address).unwrap().request(address, 1)))
+            .collect();
+        let outcomes: Vec<Outcome> = usual.into_iter().map(|client| client.join().unwrap()).collect();
+        let gone = Instant::now();
+        let description = format!("{limits:?}, {connections} of {protocol:?}, {left:?}");
+        assert_eq!(outcomes, [Outcome::Served; USUAL_CLIENTS], "{description}");
+        drop(waiting);
+        thread::sleep(Duration::from_millis(500));
+        let late = |at: &Instant| *at > gone + DEPARTURE_GRACE;
+        assert!(!test_bed.engine.times_of(USUAL_STATEMENT).iter().any(late), "{description}: sent late");
+    }
+}
+
+/// Guards against connections that say nothing and hold a place while those of other clients wait in the listener's
+/// queue; paged REST kept each for 2 s.
+#[test]
+fn silent_connections_keep_no_other_client_waiting() {
+    for (rest_connections, descriptors) in [(32, 1024), (1, 1024), (1, 256), (16, 256)] {
+        let limits = Limits { rest_connections, descriptors, ..LIMITS };
+        serve_beside_waiting_connections(limits, 300, Left::Nothing);
+    }
+}
+
+/// Guards against connections that stop in the middle of a request and hold a place for as long as they may.
+#[test]
+fn connections_that_stop_within_a_request_keep_no_other_client_waiting() {
+    for (rest_connections, descriptors) in [(32, 1024), (1, 256)] {
+        let limits = Limits { rest_connections, descriptors, ..LIMITS };
+        serve_beside_waiting_connections(limits, 300, Left::HalfARequest);
+    }
+}
--- a/crates/gateway/tests/gateway/state.rs
+++ b/crates/gateway/tests/gateway/state.rs
@@ -3,19 +3,24 @@
 use crate::in_process::{at_ms, in_coroutine};
 use larchfall_gateway::codec::discovery::{EndpointEntry, WatchEvent};
 use larchfall_gateway::codec::message_pack::{self, Response};
-use larchfall_gateway::state::client_connections::ClientConnections;
+use larchfall_gateway::state::client_connections::{ClientConnections, ClientProtocol, ConnectionLimits};
 use larchfall_gateway::state::counters::Counters;
 use larchfall_gateway::state::engine_table::{EndpointChanges, EngineTable};
 use larchfall_gateway::state::limits::Limits;
 use larchfall_gateway::state::memory::{MemoryPool, Purpose};
-use larchfall_gateway::state::response_writer::{MAX_OPEN_REQUESTS, MessageIdCheck};
+use larchfall_gateway::state::response_writer::{MAX_OPEN_REQUESTS, MessageIdCheck, ResponseWriter};
 use larchfall_gateway::state::stall_detector::StallDetector;
+use larchfall_policy::client_connection::ConnectionTimeouts;
 use larchfall_policy::memory_budget::MemoryBudget;
 use larchfall_policy::time::{Duration, Timestamp};
 use larchfall_policy::types::{EngineState, Outcome};
 use may::io::WaitIo;
 use std::net::{SocketAddrV4, TcpListener};
 
+const CONNECTION_LIMITS: ConnectionLimits = ConnectionLimits { total: 8, message_pack: 8 };
+const CONNECTION_TIMEOUTS: ConnectionTimeouts =
+    ConnectionTimeouts { idle: Duration::from_millis(5_000), message: Duration::from_millis(2_000) };
+
 #[test]
 fn a_message_read_after_a_stall_may_have_been_sent_at_its_beginning() {
     struct Case {
@@ -183,9 +188,11 @@
     in_coroutine(|| {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let stream = may::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        let connections = ClientConnections::new(MemoryPool::new(MemoryBudget::new(40, 1, 0)));
-        let registered = connections.register(stream.waker(), at_ms(0));
-        let writer = registered.writer;
+        let connections = ClientConnections::new(CONNECTION_LIMITS);
+        let registered =
+            connections.register(ClientProtocol::MessagePack, CONNECTION_TIMEOUTS, stream.waker(), at_ms(0));
+        let memory = MemoryPool::new(MemoryBudget::new(40, 1, 0));
+        let writer = ResponseWriter::new(registered.connection, memory.account());
         assert_eq!(
             (writer.register_message_id(3), writer.register_message_id(3), writer.register_message_id(2)),
             (MessageIdCheck::Accepted, MessageIdCheck::Reused, MessageIdCheck::Reused)
@@ -239,8 +246,16 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let stream = may::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let memory = MemoryPool::new(MemoryBudget::new(BUDGET_BYTES, 8, 0));
-        let connections = ClientConnections::new(memory.clone());
-        let unread = [0; 8].map(|_| connections.register(stream.waker(), at_ms(0)).writer);
+        let connections = ClientConnections::new(CONNECTION_LIMITS);
+        let unread = [0; 8].map(|_| {
+            let registered = connections.register(
+                ClientProtocol::MessagePack,
+                CONNECTION_TIMEOUTS,
+                stream.waker(),
+                at_ms(0),
+            );
+            ResponseWriter::new(registered.connection, memory.account())
+        });
         for writer in &unread {
             let mut message_id = 0;
             while !writer.is_backlogged() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod cancellation;
 mod capacity_pool;
 mod class_state;
+pub mod client_connection;
 mod concurrency_limit;
 mod congestion;
 mod data_sets;
