Paged REST: a client that closes its connection takes its request back

Cause: while a call waited for its page, nobody looked at its connection, and its end changed nothing for the request.

Change: the connection looks for the client's departure while its call waits. Without the address of a page the client can't come back, and the request ends as over MessagePack-RPC. With an address it may ask again on another connection, so the request is kept, but no attempt begins while none is open: Policy::set_client_present. A request whose turn comes meanwhile is rejected, so that it does not hold up its key.

The tests of policy, paged-rest and both protocols' sockets pass.

--- a/crates/gateway/src/client/close_reason.rs
+++ b/crates/gateway/src/client/close_reason.rs
@@ -42,6 +42,11 @@
         matches!(self, CloseReason::ClientClosed | CloseReason::ClientReset)
     }
 
+    /// Whether the client has closed the connection, or asked for its close.
+    pub(super) fn is_departure(self) -> bool {
+        self.is_by_client() || self == CloseReason::CloseRequested
+    }
+
     /// Code of the reason in log lines.
     pub(super) fn code(self) -> &'static str {
         match self {
--- a/crates/gateway/src/client/paged_rest/connection.rs
+++ b/crates/gateway/src/client/paged_rest/connection.rs
@@ -3,12 +3,14 @@
 
 use super::calls::{self, CallOrigin, Target};
 use super::pages::AwaitedCall;
+use super::readership::Readership;
 use super::service::RestService;
 use super::{responses, statement};
 use crate::client::CloseReason;
 use crate::client::input_clock::InputClock;
 use crate::client::linger::linger;
 use crate::client::listener::AcceptedConnection;
+use crate::client::readiness::has_client_left;
 use crate::client::transfer::transferred_bytes;
 use crate::state::State;
 use crate::state::budgeted_buffer::BudgetedBuffer;
@@ -35,7 +37,7 @@
 pub(super) fn serve(state: &Arc<State>, service: &Arc<RestService>, accepted: &AcceptedConnection) {
     let mut exchange = CallExchange::new(state, service, accepted);
     let reason = exchange.run();
-    exchange.end_waiting();
+    exchange.end(reason);
     if !reason.is_by_client() && exchange.has_responded {
         linger(state, &accepted.stream);
     }
@@ -74,6 +76,8 @@
     queued: Option<QueuedCall>,
     /// The call that waits for its page; no other is read meanwhile.
     awaited: Option<AwaitedCall>,
+    /// The results that the client reads on this connection.
+    readership: Readership,
     /// The part of the response that is not written yet.
     unsent: BudgetedBuffer,
     /// Whether any response was written.
@@ -103,6 +107,7 @@
             sent_continue: false,
             queued: None,
             awaited: None,
+            readership: Readership::default(),
             unsent: BudgetedBuffer::new(state.response_memory.account().empty_reservation(Purpose::Response)),
             has_responded: false,
             closes: None,
@@ -157,6 +162,10 @@
         if let Some(reason) = self.closes {
             return Err(reason);
         }
+        let is_waiting = self.queued.is_some() || self.awaited.is_some();
+        if is_waiting && has_client_left(self.stream) {
+            return Err(CloseReason::ClientClosed);
+        }
         if let Some(queued) = self.queued.take() {
             self.pause_reading();
             return Ok(self.start_queued(queued));
@@ -236,8 +245,12 @@
             CallOrigin { connection: self.connection, account: &self.account, sent: self.call_sent, slot };
         let QueuedCall { call, page, .. } = queued;
         let started = match page {
-            Some(page) => Ok(AwaitedCall::for_page(self.state, self.service, origin, &call, page)),
-            None => statement::submit(self.state, self.service, origin, &call),
+            Some(page) => {
+                self.readership.add(self.state, self.service, page.result);
+                Ok(AwaitedCall::for_page(self.state, self.service, origin, &call, page))
+            }
+            None => statement::submit(self.state, self.service, origin, &call)
+                .inspect(|awaited| self.readership.add_opened(self.service, awaited.result())),
         };
         match started {
             Ok(awaited) => self.awaited = Some(awaited),
@@ -333,13 +346,16 @@
         end.or_else(|| self.state.shutdown.is_complete().then_some(CloseReason::ShuttingDown))
     }
 
-    /// Ends the wait of a call whose connection has ended.
-    fn end_waiting(&mut self) {
+    /// Ends the wait of a call whose connection has ended, and the reading of results if the client has left.
+    fn end(&mut self, reason: CloseReason) {
         if self.queued.take().is_some() {
             self.service.leave_call_queue(self.connection);
         }
         if let Some(awaited) = self.awaited.take() {
-            awaited.stop_waiting(self.service);
+            awaited.stop_waiting(self.state, self.service, reason.is_departure());
+        }
+        if reason.is_departure() {
+            self.readership.end(self.state, self.service);
         }
     }
 
--- a/crates/gateway/src/client/paged_rest/mod.rs
+++ b/crates/gateway/src/client/paged_rest/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod connection;
 mod pages;
+mod readership;
 mod request_fields;
 mod responses;
 mod result_reader;
--- a/crates/gateway/src/client/paged_rest/pages.rs
+++ b/crates/gateway/src/client/paged_rest/pages.rs
@@ -11,6 +11,7 @@
 use larchfall_paged_rest::cursor::{Page, ResultEnd, ResultOutcome};
 use larchfall_paged_rest::document::{self, PageContent, PageLinks};
 use larchfall_paged_rest::page_address::PageAddress;
+use larchfall_paged_rest::results::ResultId;
 use larchfall_policy::time::{Duration, Timestamp};
 use std::sync::Arc;
 
@@ -69,6 +70,11 @@
         }
     }
 
+    /// The result that the page belongs to.
+    pub(super) fn result(&self) -> ResultId {
+        self.address.result
+    }
+
     pub(super) fn method(&self) -> Method {
         self.method
     }
@@ -122,9 +128,13 @@
         document::encode(&page.content, page.end, PageLinks { id, info, next })
     }
 
-    /// Ends the wait of a call whose connection has ended.
-    pub(super) fn stop_waiting(&self, service: &RestService) {
+    /// Ends the wait of a call whose connection has ended. If the client has left before it got the address of any page, it
+    /// can't ask for the result again, and its request ends.
+    pub(super) fn stop_waiting(&self, state: &State, service: &RestService, has_client_left: bool) {
         service.pages.stop_waiting(self.address.result, &self.connection);
+        if has_client_left && self.is_first_page {
+            cancel(state, service, self.address);
+        }
     }
 }
 
@@ -135,7 +145,7 @@
     }
 }
 
-/// Abandons a result because its client has cancelled it.
+/// Abandons a result because its client has cancelled it or has left.
 pub(super) fn cancel(state: &State, service: &RestService, address: PageAddress) {
     if let Some(abandoned) = service.pages.abandon(address.result) {
         abandon_request(state, abandoned.request);
--- a/crates/gateway/src/client/readiness.rs
+++ b/crates/gateway/src/client/readiness.rs
@@ -1,6 +1,6 @@
 //! Asks the operating system what has happened on a socket, without waiting and without reading from it.
 
-use may::net::TcpListener;
+use may::net::{TcpListener, TcpStream};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::os::fd::AsFd;
 
@@ -15,3 +15,7 @@
     let is_polled = poll(&mut sockets, Some(&Timespec::default()));
     is_polled.is_ok() && sockets[0].revents().intersects(event | PollFlags::HUP | PollFlags::ERR)
 }
+/// Returns whether the client has closed or reset the connection, also while bytes that it sent before are unread.
+pub(super) fn has_client_left(stream: &TcpStream) -> bool {
+    has_event(stream.inner(), PollFlags::RDHUP)
+}
--- a/crates/gateway/src/state/policy_handle/requests.rs
+++ b/crates/gateway/src/state/policy_handle/requests.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Records whether the client of a request has a connection open, and may come back if not.
+    pub fn set_client_present(&self, request: usize, is_present: bool) {
+        self.lock().policy.set_client_present(self.clock.now(), request, is_present);
+    }
+
     /// Returns how to proceed with a request whose client has disconnected; `None` while the client is connected.
     pub fn disconnect_action(&self, request: usize) -> Option<DisconnectAction> {
         self.lock().in_flight.get(request)?.disconnect_action
--- a/crates/gateway/src/state/result_pages.rs
+++ b/crates/gateway/src/state/result_pages.rs
@@ -85,6 +85,22 @@
         self.update(|results| results.set_request(id, request));
     }
 
+    /// Counts a connection that asks for pages of this result. Returns the result's request if it is in flight.
+    pub fn attach_connection(&self, id: ResultId) -> Option<usize> {
+        self.update(|results| results.attach_connection(id))
+    }
+
+    /// Records that the client has closed one of these connections. Returns the result's request if it is in flight and
+    /// no connection is left.
+    pub fn detach_connection(&self, id: ResultId) -> Option<usize> {
+        self.update(|results| results.detach_connection(id))
+    }
+
+    /// Returns whether the result is open.
+    pub fn is_open(&self, id: ResultId) -> bool {
+        self.update(|results| results.is_open(id))
+    }
+
     /// Returns whether the result has capacity for another page.
     pub fn has_capacity(&self, id: ResultId) -> bool {
         self.update(|results| results.has_capacity(id)).unwrap_or(false)
--- a/crates/gateway/tests/gateway/client_isolation.rs
+++ b/crates/gateway/tests/gateway/client_isolation.rs
@@ -1,12 +1,14 @@
 //! Clients of both protocols that misbehave, on loopback sockets, and usual clients beside them.
 
 use crate::common::{Gateway, config, operator_config};
-use larchfall_fault_tests::recording_engine::RecordingEngine;
+use larchfall_fault_tests::recording_engine::{LONG, LONG_RUN, RecordingEngine};
 use larchfall_fault_tests::usual_clients::{
     Connection, Figures, Outcome, PROTOCOLS, Protocol, RequestText, TIMEOUT, USUAL_STATEMENT, UsualClients,
     next_id, raw_connection,
 };
+use larchfall_paged_rest::document::Document;
 use larchfall_stub::discovery::Discovery;
+use larchfall_stub::rest::{RestClient, path};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -23,9 +25,10 @@
     memory_mb: usize,
     descriptors: usize,
     rest_connections: usize,
+    poll_ms: u64,
 }
 
-const LIMITS: Limits = Limits { memory_mb: 192, descriptors: 1024, rest_connections: 32 };
+const LIMITS: Limits = Limits { memory_mb: 192, descriptors: 1024, rest_connections: 32, poll_ms: 5000 };
 
 /// A gateway with an engine that records its attempts.
 struct TestBed {
@@ -39,7 +42,8 @@
         let discovery = Discovery::start("127.0.0.1:0").unwrap();
         let text = config("127.0.0.1:0", discovery.address, Some(engine.address), limits.descriptors);
         let text = text.replace("\"memory_mb\":192", &format!("\"memory_mb\":{}", limits.memory_mb));
-        let rest = format!("connections = {}\nin-hand = 8\npoll-ms = 5000", limits.rest_connections);
+        let Limits { rest_connections, poll_ms, .. } = limits;
+        let rest = format!("connections = {rest_connections}\nin-hand = 8\npoll-ms = {poll_ms}");
         let gateway = Gateway::start_with_operator_config(discovery, &text, Some(&operator_config(&rest)));
         TestBed { gateway, engine }
     }
@@ -51,6 +55,21 @@
         }
     }
 
+    /// Connects and writes requests of this class with this statement, each with a new id.
+    fn send(&self, protocol: Protocol, requests: u32, class: &str, statement: &str) -> TcpStream {
+        let address = self.address(protocol);
+        let encode = |message_id| {
+            let id = next_id();
+            RequestText { class, id: &id, key: "7", statement }.encode(protocol, address, message_id)
+        };
+        let bytes: Vec<u8> = (1..=requests).flat_map(encode).collect();
+        let mut stream = raw_connection(address).unwrap();
+        stream.set_write_timeout(Some(TIMEOUT)).unwrap();
+        // A gateway that has enough of it may end the connection before all is written.
+        let _ = stream.write_all(&bytes);
+        stream
+    }
+
     /// Sends look-ups as usual clients of both protocols do, and returns the figures of each.
     fn serve_usual_clients(&self, duration: Duration) -> [Figures; 2] {
         let usual = PROTOCOLS.map(|protocol| UsualClients::start(protocol, self.address(protocol)));
@@ -174,3 +193,53 @@
         serve_beside_waiting_connections(limits, 300, Left::HalfARequest);
     }
 }
+
+/// Guards against requests that are sent although their client closed its connection while it waited for the answer.
+#[test]
+fn a_client_that_leaves_while_it_waits_takes_its_request_back() {
+    for protocol in PROTOCOLS {
+        let test_bed = TestBed::start(LIMITS);
+        let first = test_bed.send(protocol, 1, "load", LONG);
+        thread::sleep(LONG_RUN / 4);
+        let second = test_bed.send(protocol, 1, "load", "second");
+        thread::sleep(LONG_RUN / 4);
+        drop(second);
+        thread::sleep(LONG_RUN * 2);
+        assert_eq!(test_bed.engine.count(LONG), 1, "{protocol:?}: the load before");
+        assert_eq!(test_bed.engine.count("second"), 0, "{protocol:?}: sent after its client had left");
+        drop(first);
+    }
+}
+
+/// Guards against requests that are sent after their client has closed its connection between two calls, and against the
+/// loss of those whose client comes back.
+#[test]
+fn a_paged_request_is_sent_only_while_its_client_has_a_connection() {
+    const POLL: Duration = Duration::from_millis(50);
+    for comes_back in [false, true] {
+        let test_bed = TestBed::start(Limits { poll_ms: POLL.as_millis() as u64, ..LIMITS });
+        let address = test_bed.address(Protocol::PagedRest);
+        let _first = test_bed.send(Protocol::PagedRest, 1, "load", LONG);
+        thread::sleep(POLL);
+        let id = next_id();
+        let request = RequestText { class: "load", id: &id, key: "7", statement: "second" };
+        let mut client = RestClient::connect(address).unwrap();
+        client.raw(&request.encode(Protocol::PagedRest, address, 1)).unwrap();
+        let answer = client.answer().unwrap();
+        let mut document: Document = serde_json::from_slice(&answer.body).unwrap();
+        assert!(document.next_uri.is_some() && document.data.is_none(), "{document:?}");
+        drop(client);
+        thread::sleep(LONG_RUN / 4);
+        if comes_back {
+            let mut client = RestClient::connect(address).unwrap();
+            while let Some(next) = document.next_uri.take() {
+                let answer = client.call("GET", path(&next), &[], b"").unwrap();
+                document = serde_json::from_slice(&answer.body).unwrap();
+            }
+            assert!(document.data.is_some(), "{document:?}");
+        } else {
+            thread::sleep(LONG_RUN * 2);
+        }
+        assert_eq!(test_bed.engine.count("second"), usize::from(comes_back), "comes back: {comes_back}");
+    }
+}
--- a/crates/paged-rest/src/results.rs
+++ b/crates/paged-rest/src/results.rs
@@ -47,6 +47,8 @@
     /// Index of the request that produces the result. `None` if not set yet, or if the request has ended.
     request: Option<usize>,
     in_flight: bool,
+    /// Number of open connections on which the client posted the statement or asked for pages.
+    connections: usize,
 }
 
 /// A result that the client cancelled, or that expired before the client had fetched the last page.
@@ -107,7 +109,7 @@
         self.buffered_bytes
     }
 
-    /// Opens a result. If the store is full, removes the oldest results whose last page was delivered. Returns `None`
+    /// Opens a result for the connection on which its statement was posted. If the store is full, removes the oldest results whose last page was delivered. Returns `None`
     /// if there is no such result, or if as many results are in flight as the limits allow.
     pub fn open(&mut self, now: Timestamp) -> Option<ResultId> {
         if self.in_flight >= self.limits.max_in_flight {
@@ -124,7 +126,8 @@
         let generation = self.last_generation;
         let cursor = ResultCursor::new(self.limits.window, now);
         let expires_at = cursor.expires_at();
-        let open = OpenResult { generation, cursor, expires_at, request: None, in_flight: true };
+        let open =
+            OpenResult { generation, cursor, expires_at, request: None, in_flight: true, connections: 1 };
         let index = self.open.insert(open);
         self.expiries.insert((expires_at, index));
         Some(ResultId { index, generation })
@@ -159,6 +162,22 @@
         }
     }
 
+    /// Counts a connection on which the client asks for pages of the result. Returns the request that produces the result,
+    /// if it is in flight.
+    pub fn attach_connection(&mut self, id: ResultId) -> Option<usize> {
+        let open = self.get_mut(id)?;
+        open.connections += 1;
+        open.request
+    }
+
+    /// Records that the client has closed one of these connections. If it was the last one, returns the request that
+    /// produces the result, if it is in flight.
+    pub fn detach_connection(&mut self, id: ResultId) -> Option<usize> {
+        let open = self.get_mut(id)?;
+        open.connections = open.connections.saturating_sub(1);
+        open.request.filter(|_| open.connections == 0)
+    }
+
     /// Whether another page may be fetched for the result. `None` if the result is not open or has an outcome.
     pub fn has_capacity(&mut self, id: ResultId) -> Option<bool> {
         let within_limit = self.buffered_bytes < self.limits.max_bytes;
--- a/crates/paged-rest/tests/results.rs
+++ b/crates/paged-rest/tests/results.rs
@@ -277,3 +277,19 @@
     results.expire(ms(2000));
     assert!(results.is_empty() && results.open(ms(2000)).is_some() && results.open(ms(2000)).is_some());
 }
+
+#[test]
+fn a_result_tells_when_its_client_has_closed_the_last_of_its_connections() {
+    let limits = ResultLimits { max_results: 2, max_in_flight: 2, max_bytes: 100, window: WINDOW };
+    let mut store: ResultStore<u8> = ResultStore::new(limits);
+    let result = store.open(ms(0)).unwrap();
+    store.set_request(result, 7);
+    assert_eq!(store.attach_connection(result), Some(7));
+    assert_eq!(store.detach_connection(result), None, "another connection is open");
+    assert_eq!(store.detach_connection(result), Some(7));
+    assert_eq!(store.attach_connection(result), Some(7), "the client has come back");
+    store.request_ended(result);
+    assert_eq!(store.detach_connection(result), None, "the request has ended");
+    store.abandon(result);
+    assert_eq!((store.attach_connection(result), store.detach_connection(result)), (None, None));
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -150,7 +150,8 @@
         if record.request.key.is_some_and(|key| !self.key_order.is_next(key, request, now)) {
             return RoutingDecision::Wait;
         }
-        if !self.is_attempt_allowed(now, request) {
+        // Its turn has come, and those behind it must not wait until the client comes back.
+        if record.has_client_left(now) || !self.is_attempt_allowed(now, request) {
             return self.finish_unanswered(request);
         }
         match self.select_engine(now, request) {
@@ -159,12 +160,11 @@
         }
     }
 
-    /// Whether an attempt that was routed earlier may start now: the request has no final answer, the attempt is not
-    /// cancelled, the endpoint list is current, and a repeat of an earlier attempt is still safe at this engine.
+    /// Whether an attempt that was routed earlier may start now: the request has no final answer, its client has not left,
+    /// the attempt is not cancelled, the endpoint list is current, and a repeat of an earlier attempt is still safe at this engine.
     pub fn may_start_attempt(&self, now: Timestamp, request: usize, attempt: u8) -> bool {
-        let Some(record) = self.requests.get(&request).filter(|record| !record.finished) else {
-            return false;
-        };
+        let is_wanted = |record: &&RequestRecord| !record.finished && !record.has_client_left(now);
+        let Some(record) = self.requests.get(&request).filter(is_wanted) else { return false };
         let is_active = |other: &&AttemptInFlight| other.number == attempt && !other.cancelled;
         let Some(attempt) = record.in_flight.iter().find(is_active) else { return false };
         let Some(engine) = self.engines.get(&attempt.engine) else { return false };
@@ -209,6 +209,15 @@
         }
     }
 
+    /// Records whether the client of a request has any connection open on which it sent the request or asked for its
+    /// result. A client without one may come back; no attempt begins for it meanwhile.
+    pub fn set_client_present(&mut self, now: Timestamp, request: usize, is_present: bool) {
+        if let Some(record) = self.requests.get_mut(&request) {
+            let absent_since = record.client_absent_since.unwrap_or(now);
+            record.client_absent_since = (!is_present).then_some(absent_since);
+        }
+    }
+
     /// Finishes a request whose client disconnected, and returns the numbers of its attempts that the caller must
     /// cancel: none where attempts cannot be cancelled. The client may reconnect and send the request again at once.
     pub fn on_client_disconnected(&mut self, request: usize) -> Vec<u8> {
--- a/crates/policy/src/request_record.rs
+++ b/crates/policy/src/request_record.rs
@@ -4,6 +4,10 @@
 use crate::time::{Duration, Timestamp};
 use crate::types::{Engine, ProgressUpdate, Request};
 
+/// How long attempts may still begin for a client whose connections are closed. Clients may use a new connection for each
+/// call; an attempt must have come whole to its engine within 100 ms after its client has left.
+const CLIENT_ABSENCE_GRACE: Duration = Duration::from_millis(50);
+
 /// An attempt that was sent and has no outcome yet.
 #[derive(Default)]
 pub(crate) struct AttemptInFlight {
@@ -65,6 +69,9 @@
     pub first_possible_run: Option<PossibleRun>,
     /// An attempt has an outcome, but no proof that it ended, and no other attempt may run at the same time.
     pub has_unproven_end: bool,
+    /// Since when no connection of the client is open on which the request was sent or its result asked for; `None` while
+    /// there is one.
+    pub client_absent_since: Option<Timestamp>,
     /// The request has its final answer.
     pub finished: bool,
 }
@@ -86,6 +93,11 @@
         }
     }
 
+    /// Whether the client has been away for so long that no attempt may begin for it.
+    pub(crate) fn has_client_left(&self, now: Timestamp) -> bool {
+        self.client_absent_since.is_some_and(|since| now.since(since) >= CLIENT_ABSENCE_GRACE)
+    }
+
     /// Whether the request has its final answer and no attempt in flight.
     pub(crate) fn is_complete(&self) -> bool {
         self.finished && self.in_flight.is_empty()
--- a/crates/policy/tests/policy/requests.rs
+++ b/crates/policy/tests/policy/requests.rs
@@ -137,3 +137,42 @@
         assert!(rejected || decision == RoutingDecision::Fail, "{outcome:?}: {decision:?}");
     }
 }
+
+/// Guards against attempts for a client that has closed its connections: what waits for its key ends instead, and does
+/// not hold up the requests behind it.
+#[test]
+fn no_attempt_begins_for_a_client_that_has_left_unless_it_comes_back() {
+    // (absent from, present again from, routed at, sent)
+    for (absent_ms, present_ms, routed_ms, sent) in [
+        (100, None, 149, true),
+        (100, None, 150, false),
+        (100, Some(120), 150, true),
+        (100, Some(180), 190, true),
+    ] {
+        let mut config = typical_config();
+        config.classes[DATA_LOAD].in_order = true;
+        let mut gateway = config.start(1);
+        let keyed = Request { key: Some(9), ..request(DATA_LOAD) };
+        let (first, _) = gateway.admit(0, keyed.clone());
+        let (second, decision) = gateway.admit(1, keyed.clone());
+        assert_eq!(decision, RoutingDecision::Wait);
+        let (third, _) = gateway.admit(2, keyed);
+        gateway.policy.set_client_present(at_ms(absent_ms), second, false);
+        if let Some(present_ms) = present_ms {
+            gateway.policy.set_client_present(at_ms(present_ms), second, true);
+        }
+        assert_eq!(gateway.policy.route(at_ms(routed_ms), second), RoutingDecision::Wait, "before its turn");
+        gateway.finish_attempt(routed_ms, first, 0, Outcome::Returned, 10);
+        let decision = gateway.policy.route(at_ms(routed_ms), second);
+        let case = format!("absent from {absent_ms}, present from {present_ms:?}, routed at {routed_ms}");
+        assert_eq!(sent_to(decision).is_some(), sent, "{case}: {decision:?}");
+        if sent {
+            assert!(gateway.policy.may_start_attempt(at_ms(routed_ms), second, 0), "{case}");
+            gateway.policy.set_client_present(at_ms(routed_ms), second, false);
+            assert!(!gateway.policy.may_start_attempt(at_ms(routed_ms + 50), second, 0), "{case}");
+        } else {
+            assert!(matches!(decision, RoutingDecision::Reject(_)), "{case}: {decision:?}");
+            assert!(sent_to(gateway.policy.route(at_ms(routed_ms), third)).is_some(), "{case}");
+        }
+    }
+}
