Do not admit what a client had sent before it left, however much of it is unread

Cause: the end of a connection was read behind its input, so that requests before it were handled as if their client waited. Paged REST reads nothing while a call waits, and MessagePack-RPC nothing while responses are unsent.

Change: both protocols ask the operating system whether the client has closed the connection before they handle input, and while they do not read.

--- a/crates/gateway/src/client/message_pack/connection.rs
+++ b/crates/gateway/src/client/message_pack/connection.rs
@@ -6,6 +6,7 @@
 use crate::client::input_clock::InputClock;
 use crate::client::linger::linger;
 use crate::client::listener::AcceptedConnection;
+use crate::client::readiness::has_client_left;
 use crate::client::transfer::transferred_bytes;
 use crate::state::State;
 use crate::state::client_connections::ClientConnection;
@@ -99,6 +100,10 @@
             self.read()?
         };
         let has_input = !is_backlogged && (read > 0 || self.inbox.may_hold_more());
+        // Requests of a client that has left are not admitted, however much of its input is unread.
+        if (has_input || is_backlogged) && has_client_left(self.stream) {
+            return Err(CloseReason::ClientClosed);
+        }
         if self.closing.is_some() {
             self.inbox = Inbox::new(&self.account);
         } else if has_input {
--- a/crates/gateway/src/client/paged_rest/connection.rs
+++ b/crates/gateway/src/client/paged_rest/connection.rs
@@ -191,6 +191,10 @@
     fn process_input(&mut self) -> Result<bool, CloseReason> {
         let decoded = call::decode(&self.input, self.service.settings().max_statement_bytes);
         let is_complete = matches!(decoded, Ok(Progress::Complete { .. }));
+        // Calls of a client that has left are not handled, however much of its input is unread.
+        if is_complete && has_client_left(self.stream) {
+            return Err(CloseReason::ClientClosed);
+        }
         match decoded {
             Ok(Progress::Complete { call, length }) => {
                 self.input.remove_front(length);
--- a/crates/gateway/tests/gateway/client_isolation.rs
+++ b/crates/gateway/tests/gateway/client_isolation.rs
@@ -243,3 +243,29 @@
         assert_eq!(test_bed.engine.count("second"), usize::from(comes_back), "comes back: {comes_back}");
     }
 }
+
+/// Guards against requests that are read and sent after their client has gone, since nobody looked at the end of the
+/// connection while input was left.
+#[test]
+fn requests_that_are_unread_when_their_client_leaves_are_not_sent() {
+    for protocol in PROTOCOLS {
+        for (class, statement_bytes) in [("once", 100), ("load", 100), ("once", 20_000)] {
+            let test_bed = TestBed::start(LIMITS);
+            let statement = format!("{LONG} {}", " ".repeat(statement_bytes));
+            let stream = test_bed.send(protocol, 30, class, &statement);
+            thread::sleep(LONG_RUN / 4);
+            drop(stream);
+            let gone = Instant::now();
+            thread::sleep(LONG_RUN * 3);
+            let times = test_bed.engine.times_of(LONG);
+            let late = times.iter().filter(|at| **at > gone + DEPARTURE_GRACE).count();
+            assert_eq!(
+                late,
+                0,
+                "{protocol:?}, {class}, {statement_bytes} bytes: {} sent in all",
+                times.len()
+            );
+            assert!(!times.is_empty(), "{protocol:?}, {class}: nothing was sent before the client left");
+        }
+    }
+}
