Pause each connection of either protocol after a number of rounds without a wait

What callers saw: beside one paged REST client that sends small or unsound calls without pause on one connection, look-ups over MessagePack-RPC waited 3.2 s or had no answer.

Cause: paged REST paused only once the sockets had not been polled for 60 ms. Attempts look for a poll at the same moments, and found none for as long as the flood lasted.

Change: client/pacing.rs, which both protocols share, lets a connection sleep for 5 ms after a number of rounds without a wait.

--- a/crates/gateway/src/client/message_pack/connection.rs
+++ b/crates/gateway/src/client/message_pack/connection.rs
@@ -6,13 +6,14 @@
 use crate::client::input_clock::InputClock;
 use crate::client::linger::linger;
 use crate::client::listener::AcceptedConnection;
+use crate::client::pacing::Pacer;
 use crate::client::readiness::has_client_left;
 use crate::client::transfer::transferred_bytes;
 use crate::state::State;
 use crate::state::client_connections::ClientConnection;
 use crate::state::memory::MemoryAccount;
 use crate::state::response_writer::ResponseWriter;
-use larchfall_policy::time::{Duration, Timestamp};
+use larchfall_policy::time::Timestamp;
 use may::io::WaitIo;
 use may::net::TcpStream;
 use slog::info;
@@ -21,8 +22,6 @@
 
 /// Number of rounds of reads and writes that a connection makes before its coroutine sleeps and lets others run.
 const MAX_ROUNDS_WITHOUT_SLEEP: usize = 8;
-/// How long a coroutine sleeps to let others run.
-const YIELD_SLEEP: Duration = Duration::from_millis(5);
 
 /// Serves a connection until it ends, closes the socket and logs the reason.
 pub(super) fn serve(state: &Arc<State>, accepted: AcceptedConnection) {
@@ -56,8 +55,7 @@
     /// Set when the connection closes before its client does: it violated the protocol, or its place is needed. Further
     /// input is discarded, and outstanding responses are still sent.
     closing: Option<CloseReason>,
-    /// Rounds since the coroutine last slept or waited.
-    rounds: usize,
+    pacer: Pacer,
 }
 
 impl<'a> MessageExchange<'a> {
@@ -76,7 +74,7 @@
             account,
             input_clock: InputClock::new(accepted.queued_since),
             closing: None,
-            rounds: 0,
+            pacer: Pacer::new(MAX_ROUNDS_WITHOUT_SLEEP),
         }
     }
 
@@ -112,10 +110,10 @@
         let now = self.state.clock.now();
         if written + read > 0 || has_input {
             self.connection.update(|activity| activity.record_transfer(now));
-            self.yield_to_others();
+            self.pacer.end_round(self.state);
             return Ok(());
         }
-        self.rounds = 0;
+        self.pacer.record_wait();
         match self.close_reason(now) {
             Some(CloseReason::Evicted) if self.reject_incomplete() => return Ok(()),
             Some(reason) => return Err(reason),
@@ -155,24 +153,6 @@
         true
     }
 
-    /// Yields to other coroutines. Sleeps after `MAX_ROUNDS_WITHOUT_SLEEP` rounds, or when the sockets were not
-    /// polled for too long.
-    fn yield_to_others(&mut self) {
-        self.rounds += 1;
-        if self.rounds < MAX_ROUNDS_WITHOUT_SLEEP {
-            // Other coroutines may have become ready during this round.
-            may::coroutine::yield_now();
-        }
-        // The worker doesn't poll the sockets while any coroutine is ready to run: connections that always have data to
-        // transfer would starve all others.
-        while self.rounds >= MAX_ROUNDS_WITHOUT_SLEEP
-            || self.state.stall_detector.is_event_poll_overdue(self.state.clock.now())
-        {
-            self.rounds = 0;
-            self.state.sleep(YIELD_SLEEP);
-        }
-    }
-
     /// Why this gateway closes a connection without input or output, if so. A connection stays open while a response is
     /// outstanding that the client may still read.
     fn close_reason(&self, now: Timestamp) -> Option<CloseReason> {
--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -6,6 +6,7 @@
 mod linger;
 mod listener;
 pub mod message_pack;
+mod pacing;
 pub mod paged_rest;
 mod readiness;
 mod transfer;
--- a/crates/gateway/src/client/paged_rest/connection.rs
+++ b/crates/gateway/src/client/paged_rest/connection.rs
@@ -10,6 +10,7 @@
 use crate::client::input_clock::InputClock;
 use crate::client::linger::linger;
 use crate::client::listener::AcceptedConnection;
+use crate::client::pacing::Pacer;
 use crate::client::readiness::has_client_left;
 use crate::client::transfer::transferred_bytes;
 use crate::state::State;
@@ -30,8 +31,8 @@
 const CHUNK_BYTES: usize = 4 * 1024;
 /// Maximum time for which a call queues for a slot.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(2_000);
-/// How long a coroutine sleeps to let others run.
-const YIELD_SLEEP: Duration = Duration::from_millis(5);
+/// Number of steps that a connection makes before its coroutine sleeps and lets others run. A call takes about three.
+const MAX_STEPS_WITHOUT_SLEEP: usize = 32;
 
 /// Serves a connection until it ends, closes the socket and logs the reason.
 pub(super) fn serve(state: &Arc<State>, service: &Arc<RestService>, accepted: &AcceptedConnection) {
@@ -84,6 +85,7 @@
     has_responded: bool,
     /// Why the connection closes once the response is written.
     closes: Option<CloseReason>,
+    pacer: Pacer,
 }
 
 impl<'a> CallExchange<'a> {
@@ -111,6 +113,7 @@
             unsent: BudgetedBuffer::new(state.response_memory.account().empty_reservation(Purpose::Response)),
             has_responded: false,
             closes: None,
+            pacer: Pacer::new(MAX_STEPS_WITHOUT_SLEEP),
         }
     }
 
@@ -130,7 +133,7 @@
         let is_busy = self.awaited.is_some() || !self.unsent.is_empty();
         self.connection.update(|activity| activity.set_busy(is_busy));
         if has_progressed {
-            self.yield_to_others();
+            self.pacer.end_round(self.state);
             return Ok(());
         }
         let now = self.state.clock.now();
@@ -148,6 +151,7 @@
             Some(reason) => return Err(reason),
             None => {}
         }
+        self.pacer.record_wait();
         self.input_clock.record_wait(now);
         self.stream.wait_io();
         Ok(())
@@ -362,12 +366,4 @@
             self.readership.end(self.state, self.service);
         }
     }
-
-    /// Sleeps while the sockets were not polled for too long. The worker doesn't poll them while any coroutine is ready
-    /// to run, so a client that never pauses would starve all others.
-    fn yield_to_others(&self) {
-        while self.state.stall_detector.is_event_poll_overdue(self.state.clock.now()) {
-            self.state.sleep(YIELD_SLEEP);
-        }
-    }
 }
--- a/crates/gateway/tests/gateway/client_isolation.rs
+++ b/crates/gateway/tests/gateway/client_isolation.rs
@@ -9,8 +9,8 @@
 use larchfall_paged_rest::document::Document;
 use larchfall_stub::discovery::Discovery;
 use larchfall_stub::rest::{RestClient, path};
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -19,6 +19,9 @@
 /// Time after the departure of a client within which its requests may still be sent to an engine.
 const DEPARTURE_GRACE: Duration = Duration::from_millis(100);
 
+/// Time within which a look-up is to be answered: the aim of its class in the settings.
+const LOOK_UP_AIM: Duration = Duration::from_millis(1000);
+
 /// What the platform and the operator give a gateway.
 #[derive(Clone, Copy, Debug)]
 struct Limits {
@@ -269,3 +272,49 @@
         }
     }
 }
+
+/// Requests of classes that do not exist, each of another: as many as a client writes at once.
+fn unknown_requests(protocol: Protocol, host: SocketAddr, write: u32) -> Vec<u8> {
+    const REQUESTS: u32 = 20;
+    let encode = |message_id| {
+        let id = next_id();
+        let class = format!("class-{id}");
+        let request = RequestText { class: &class, id: &id, key: &id, statement: "select 1" };
+        request.encode(protocol, host, message_id)
+    };
+    (write * REQUESTS + 1..=(write + 1) * REQUESTS).flat_map(encode).collect()
+}
+
+/// Guards against a connection whose input never ends and whose coroutine never pauses: others were served 3 s later, or
+/// not at all.
+#[test]
+fn one_client_at_full_speed_does_not_delay_others() {
+    const FLOOD: Duration = Duration::from_secs(8);
+    for protocol in PROTOCOLS {
+        let test_bed = TestBed::start(Limits { poll_ms: 1000, memory_mb: 32, ..LIMITS });
+        let address = test_bed.address(protocol);
+        let usual = PROTOCOLS.map(|usual| (usual, UsualClients::start(usual, test_bed.address(usual))));
+        let flood = Background::start(1, move || {
+            let Some(mut stream) = raw_connection(address) else { return };
+            let mut input = stream.try_clone().unwrap();
+            let reader = thread::spawn(move || while matches!(input.read(&mut [0; 16 * 1024]), Ok(1..)) {});
+            let until = Instant::now() + FLOOD;
+            for write in (0..).take_while(|_| Instant::now() < until) {
+                if stream.write_all(&unknown_requests(protocol, address, write)).is_err() {
+                    break;
+                }
+            }
+            let _ = stream.shutdown(Shutdown::Both);
+            reader.join().unwrap();
+        });
+        thread::sleep(FLOOD - Duration::from_millis(500));
+        let usual = usual.map(|(usual_protocol, usual)| (usual_protocol, usual.stop()));
+        flood.stop();
+        for (usual_protocol, figures) in usual {
+            let description = format!("flood of {protocol:?}, usual clients of {usual_protocol:?}");
+            assert_served(&figures, &description);
+            let slowest = Duration::from_millis(figures.latency_ms(100) as u64);
+            assert!(slowest < LOOK_UP_AIM, "{description}: {figures}");
+        }
+    }
+}
