Guarantee memory to each connection that may be open, of both protocols

What callers saw: beside hundreds of half-written requests at 32 MB, a third of usual look-ups were rejected.

Cause: the memory budgets guaranteed shares to a third of the descriptors; two fifths may be open, and bad clients hold them all. The shares of all and the excess were more than the budget, so that whoever asked last was refused its share.

Change: the shares are computed for all connections that may be open, and no more may be open than the budget has shares of the least useful size.

Result: half_written_requests_leave_usual_clients_their_share_of_memory failed before (5 of 46 look-ups rejected) and passes, as does every_connection_that_may_be_open_has_memory_for_a_small_request, which was refused at 16 MB and 256 descriptors.

--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -2,10 +2,8 @@
 
 use larchfall_policy::memory_budget::MemoryBudget;
 
-/// Divisor of the descriptors that gives the number of connections that clients hold at most at the same time.
-const CLIENT_DIVISOR: usize = 3;
-/// Fraction of the descriptors for client connections: those that clients hold, and new connections that are accepted
-/// while old ones are still closing.
+/// Fraction of the descriptors for client connections: the third that clients hold at most at the same time, and new
+/// connections that are accepted while old ones are still closing.
 const CLIENT_DESCRIPTOR_FRACTION: Fraction = Fraction { numerator: 2, denominator: 5 };
 /// Fraction of the descriptors for connections to engines.
 const ENGINE_DESCRIPTOR_FRACTION: Fraction = Fraction { numerator: 1, denominator: 2 };
@@ -57,22 +55,22 @@
     /// Computes the limits from the memory in MiB and the maximum number of open descriptors. Returns `None` if either
     /// is too small to serve any request.
     pub fn new(memory_mb: usize, max_descriptors: usize) -> Option<Limits> {
-        let clients = max_descriptors / CLIENT_DIVISOR;
         let descriptors = max_descriptors.checked_sub(OTHER_DESCRIPTORS)?;
         let memory = memory_mb << 20;
-        let client_connections = CLIENT_DESCRIPTOR_FRACTION.of(descriptors);
         let request_bytes = memory / REQUEST_MEMORY_DIVISOR;
+        let response_bytes = memory / RESPONSE_MEMORY_DIVISOR;
+        // Each connection that may be open has its guaranteed shares.
+        let client_connections = CLIENT_DESCRIPTOR_FRACTION
+            .of(descriptors)
+            .min(MemoryBudget::max_accounts(request_bytes, MIN_REQUEST_SHARE_BYTES))
+            .min(MemoryBudget::max_accounts(response_bytes, MIN_RESPONSE_SHARE_BYTES));
         let limits = Limits {
             all_client_connections: client_connections,
             client_connections,
             engine_connections: ENGINE_DESCRIPTOR_FRACTION.of(descriptors),
-            request_memory: MemoryBudget::new(request_bytes, clients, MIN_REQUEST_SHARE_BYTES),
+            request_memory: MemoryBudget::new(request_bytes, client_connections, MIN_REQUEST_SHARE_BYTES),
             requests: request_bytes / BYTES_PER_REQUEST,
-            response_memory: MemoryBudget::new(
-                memory / RESPONSE_MEMORY_DIVISOR,
-                clients,
-                MIN_RESPONSE_SHARE_BYTES,
-            ),
+            response_memory: MemoryBudget::new(response_bytes, client_connections, MIN_RESPONSE_SHARE_BYTES),
         };
         let is_usable = limits.client_connections > 0 && limits.engine_connections > 0 && limits.requests > 0;
         is_usable.then_some(limits)
--- a/crates/gateway/tests/gateway/client_isolation.rs
+++ b/crates/gateway/tests/gateway/client_isolation.rs
@@ -273,6 +273,43 @@
     }
 }
 
+/// Guards against clients that together take the memory which each usual client's request needs: parts of large requests
+/// on all connections that may be open.
+#[test]
+fn half_written_requests_leave_usual_clients_their_share_of_memory() {
+    const THREADS: usize = 16;
+    const CONNECTIONS: usize = 40;
+    const STATEMENT_BYTES: usize = 60_000;
+    let limits = Limits { memory_mb: 32, poll_ms: 1000, ..LIMITS };
+    for protocol in PROTOCOLS {
+        let test_bed = TestBed::start(limits);
+        let address = test_bed.address(protocol);
+        let id = next_id();
+        let statement = " ".repeat(STATEMENT_BYTES);
+        let request = RequestText { class: "look", id: &id, key: "7", statement: &statement };
+        let request = Arc::new(request.encode(protocol, address, 1));
+        let writers = Background::start(THREADS, move || {
+            let half_written = |_| {
+                let mut stream = raw_connection(address)?;
+                stream.write_all(&request[..request.len() / 2]).ok()?;
+                Some(stream)
+            };
+            let half_written: Vec<TcpStream> = (0..CONNECTIONS).filter_map(half_written).collect();
+            thread::sleep(Duration::from_millis(100));
+            drop(half_written);
+        });
+        thread::sleep(Duration::from_millis(600));
+        let usual = test_bed.serve_usual_clients(Duration::from_secs(3));
+        let peak = test_bed.gateway.peak_memory_bytes();
+        writers.stop();
+        for (usual_protocol, figures) in PROTOCOLS.iter().zip(&usual) {
+            let description = format!("half-written {protocol:?}, usual clients of {usual_protocol:?}");
+            assert_served(figures, &description);
+        }
+        assert!(peak <= limits.memory_mb << 20, "{protocol:?}: {} KiB", peak >> 10);
+    }
+}
+
 /// Requests of classes that do not exist, each of another: as many as a client writes at once.
 fn unknown_requests(protocol: Protocol, host: SocketAddr, write: u32) -> Vec<u8> {
     const REQUESTS: u32 = 20;
--- a/crates/gateway/tests/gateway/state.rs
+++ b/crates/gateway/tests/gateway/state.rs
@@ -6,7 +6,7 @@
 use larchfall_gateway::state::client_connections::{ClientConnections, ClientProtocol, ConnectionLimits};
 use larchfall_gateway::state::counters::Counters;
 use larchfall_gateway::state::engine_table::{EndpointChanges, EngineTable};
-use larchfall_gateway::state::limits::Limits;
+use larchfall_gateway::state::limits::{BYTES_PER_REQUEST, Limits};
 use larchfall_gateway::state::memory::{MemoryPool, Purpose};
 use larchfall_gateway::state::response_writer::{MAX_OPEN_REQUESTS, MessageIdCheck, ResponseWriter};
 use larchfall_gateway::state::stall_detector::StallDetector;
@@ -126,6 +126,38 @@
     }
 }
 
+/// Guards against shares that are guaranteed to fewer connections than may be open: half-read requests on the others took
+/// what a request of a usual client needs.
+#[test]
+fn every_connection_that_may_be_open_has_memory_for_a_small_request() {
+    const INPUT_BYTES: usize = 4096;
+    for memory_mb in [16, 32, 48, 64, 96, 192, 2048] {
+        for descriptors in [64, 256, 512, 1024, 4096] {
+            let limits = Limits::new(memory_mb, descriptors).unwrap();
+            let connections = limits.all_client_connections;
+            for (budget, needed) in [
+                (limits.request_memory, BYTES_PER_REQUEST + INPUT_BYTES),
+                (limits.response_memory, INPUT_BYTES),
+            ] {
+                let pool = MemoryPool::new(budget);
+                let greedy: Vec<_> = (1..connections)
+                    .map(|_| {
+                        let mut held = pool.account().empty_reservation(Purpose::ClientInput);
+                        let mut bytes = 0;
+                        while held.try_resize(bytes + INPUT_BYTES).is_ok() {
+                            bytes += INPUT_BYTES;
+                        }
+                        held
+                    })
+                    .collect();
+                let usual = pool.account().reserve(Purpose::Request, needed);
+                let case = format!("{memory_mb} MB, {descriptors} descriptors, {needed} bytes");
+                assert!(usual.is_ok(), "{case}: refused beside {} connections", greedy.len());
+            }
+        }
+    }
+}
+
 fn entry(id: u32, port: u16, state: EngineState) -> EndpointEntry {
     let address = SocketAddrV4::new([10, 0, 0, 1].into(), port);
     EndpointEntry { id, address, state, zone: 0, kind: 0, cell: 0, started_ms: 5 }
--- a/crates/policy/src/memory_budget.rs
+++ b/crates/policy/src/memory_budget.rs
@@ -22,9 +22,15 @@
 }
 
 impl MemoryBudget {
+    /// The largest number of accounts that can each have a guaranteed share of `min_share_bytes` in a budget of `max_bytes`,
+    /// beside the part that is left to excesses.
+    pub const fn max_accounts(max_bytes: usize, min_share_bytes: usize) -> usize {
+        (max_bytes - max_bytes / MIN_EXCESS_DIVISOR) / min_share_bytes
+    }
+
     /// Creates a budget of which nothing is held. `accounts` is the number of accounts that get a guaranteed share of at
-    /// least `min_share_bytes`. Where these shares are more than three quarters of the budget, accounts get theirs in the
-    /// order in which they ask.
+    /// least `min_share_bytes`. With more than [`MemoryBudget::max_accounts`] of them, accounts get theirs in the order in
+    /// which they ask.
     pub fn new(max_bytes: usize, accounts: usize, min_share_bytes: usize) -> MemoryBudget {
         let guaranteed_bytes = (max_bytes / SHARES_DIVISOR / accounts.max(1)).max(min_share_bytes);
         let all_shares = guaranteed_bytes.saturating_mul(accounts);
