Keep connections of served clients while enough others await a message

Change: choose_evictions closes a served connection only for places that those which await a message do not free.

--- a/crates/gateway/src/state/client_connections.rs
+++ b/crates/gateway/src/state/client_connections.rs
@@ -2,7 +2,7 @@
 
 use super::lock;
 use larchfall_policy::client_connection::{
-    ConnectionActivity, ConnectionEnd, ConnectionTimeouts, EvictionOrder, places_to_free,
+    ConnectionActivity, ConnectionEnd, ConnectionTimeouts, choose_evictions, places_to_free,
 };
 use larchfall_policy::time::Timestamp;
 use may::io::WaitIoWaker;
@@ -167,17 +167,12 @@
     ) -> bool {
         let needed = places_to_free(open, max);
         if needed > 0 {
-            let mut evictable: Vec<(EvictionOrder, Arc<ClientConnection>)> = self
-                .all()
-                .into_iter()
-                .filter(|connection| is_candidate(connection))
-                .filter_map(|connection| {
-                    let order = connection.update(|activity| activity.eviction_order(now))?;
-                    Some((order, connection))
-                })
-                .collect();
-            evictable.sort_by_key(|(order, _)| *order);
-            for (_, connection) in evictable.into_iter().take(needed) {
+            let candidates =
+                self.all().into_iter().filter(|connection| is_candidate(connection)).map(|connection| {
+                    let activity = connection.update(|activity| *activity);
+                    (connection, activity)
+                });
+            for connection in choose_evictions(candidates, needed, now) {
                 connection.update(ConnectionActivity::request_close);
                 connection.wake();
             }
--- a/crates/policy/src/client_connection.rs
+++ b/crates/policy/src/client_connection.rs
@@ -42,13 +42,32 @@
 
 /// Sort key by which connections are closed when places are needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct EvictionOrder {
+struct EvictionOrder {
     has_sent_complete_messages: bool,
     last_activity: Timestamp,
 }
 
+/// Chooses up to `needed` connections to close. One whose client has been served closes only if too few others await a
+/// message, since these close soon.
+pub fn choose_evictions<C>(
+    connections: impl Iterator<Item = (C, ConnectionActivity)>,
+    needed: usize,
+    now: Timestamp,
+) -> Vec<C> {
+    let mut awaiting = 0;
+    let mut evictable = Vec::new();
+    for (connection, activity) in connections.filter(|(_, activity)| !activity.is_busy) {
+        awaiting += usize::from(activity.awaiting_message_since.is_some());
+        evictable.extend(activity.eviction_order(now).map(|order| (order, connection)));
+    }
+    evictable.sort_by_key(|(order, _)| *order);
+    let behind = evictable.partition_point(|(order, _)| !order.has_sent_complete_messages);
+    let max_closed = needed.min(behind + needed.saturating_sub(awaiting));
+    evictable.into_iter().take(max_closed).map(|(_, connection)| connection).collect()
+}
+
 /// What happened on one connection of a client.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct ConnectionActivity {
     timeouts: ConnectionTimeouts,
     /// Time of the last read or write on the socket.
@@ -136,7 +155,7 @@
 
     /// Returns the sort key for closing this connection to free its place; `None` if it is busy, or active and not
     /// behind with a message.
-    pub fn eviction_order(&self, now: Timestamp) -> Option<EvictionOrder> {
+    fn eviction_order(&self, now: Timestamp) -> Option<EvictionOrder> {
         let is_recent = now.since(self.last_activity) < RECENT_ACTIVITY;
         let is_slow =
             self.awaiting_message_since.is_some_and(|since| now.since(since) >= MAX_CONTESTED_MESSAGE_TIME);
--- a/crates/policy/tests/client_connection.rs
+++ b/crates/policy/tests/client_connection.rs
@@ -1,7 +1,7 @@
 //! When connections of clients close, and which of them close for others.
 
 use larchfall_policy::client_connection::{
-    ConnectionActivity, ConnectionEnd, ConnectionTimeouts, places_to_free,
+    ConnectionActivity, ConnectionEnd, ConnectionTimeouts, choose_evictions, places_to_free,
 };
 use larchfall_policy::time::{Duration, Timestamp};
 
@@ -50,6 +50,11 @@
     assert_eq!(connection.end(at_ms(100)), None);
 }
 
+/// The names of the connections that close when this many places are needed.
+fn evicted<'a>(connections: &[(&'a str, ConnectionActivity)], needed: usize, ms: u64) -> Vec<&'a str> {
+    choose_evictions(connections.iter().copied(), needed, at_ms(ms))
+}
+
 /// Guards against clients that write a little again and again and thus hold every place.
 #[test]
 fn connections_without_a_complete_message_close_first_for_others() {
@@ -61,15 +66,26 @@
         slow.record_transfer(at_ms(ms));
         slow.record_messages(false, true, at_ms(ms));
     }
-    assert_eq!(silent.eviction_order(at_ms(49)), None, "a client that may be about to send");
-    assert!(silent.eviction_order(at_ms(50)) < idle.eviction_order(at_ms(50)));
-    let mut active = slow.clone();
+    assert!(evicted(&[("silent", silent)], 1, 49).is_empty(), "a client that may be about to send");
+    assert_eq!(evicted(&[("idle", idle), ("silent", silent)], 2, 50), ["silent", "idle"]);
+    let mut active = slow;
     active.record_messages(true, true, at_ms(290));
-    assert_eq!(active.eviction_order(at_ms(299)), None, "a message that has begun a moment ago");
-    assert!(silent.eviction_order(at_ms(299)) < slow.eviction_order(at_ms(299)));
-    assert!(slow.eviction_order(at_ms(299)) < idle.eviction_order(at_ms(299)));
+    assert!(evicted(&[("active", active)], 1, 299).is_empty(), "a message that has begun a moment ago");
+    let all = [("idle", idle), ("slow", slow), ("active", active), ("silent", silent)];
+    assert_eq!(evicted(&all, 4, 299), ["silent", "slow", "idle"]);
+    assert_eq!(evicted(&all, 2, 299), ["silent", "slow"]);
     idle.set_busy(true);
-    assert_eq!(idle.eviction_order(at_ms(9000)), None);
+    assert!(evicted(&[("idle", idle)], 1, 9000).is_empty());
+}
+
+/// Guards against connections of usual clients that close between two requests while silent ones come and go.
+#[test]
+fn a_served_client_keeps_its_connection_while_enough_others_await_a_message() {
+    let mut served = accepted();
+    served.record_messages(true, false, at_ms(1));
+    let recent = ConnectionActivity::new(TIMEOUTS, at_ms(90));
+    assert!(evicted(&[("served", served), ("recent", recent)], 1, 100).is_empty());
+    assert_eq!(evicted(&[("served", served), ("recent", recent)], 2, 100), ["served"]);
 }
 
 #[test]
