MessagePack-RPC: refuse requests of very many fields before the fields are read

What callers saw: beside 700 clients that send requests of 60,000 short fields, a usual look-up took 0.64 s in the middle and 0.93 s at the worst.

Cause: a message was bounded by its length alone, and each of its values was scanned and decoded before the request was refused.

Change: a map of more than 64 fields or an array of more than 4,096 values ends the message as soon as their number has come. The client has the error at once, and the connection closes.

--- a/crates/gateway/src/client/message_pack/connection.rs
+++ b/crates/gateway/src/client/message_pack/connection.rs
@@ -9,6 +9,7 @@
 use crate::client::pacing::Pacer;
 use crate::client::readiness::has_client_left;
 use crate::client::transfer::transferred_bytes;
+use crate::codec::message_pack::MessageError;
 use crate::state::State;
 use crate::state::client_connections::ClientConnection;
 use crate::state::memory::MemoryAccount;
@@ -136,13 +137,23 @@
 
     /// Handles the complete messages that were read, and records what is left.
     fn handle_input(&mut self) -> Result<(), CloseReason> {
-        let handled = requests::handle_messages(self.state, self.writer, &self.account, &mut self.inbox)?;
+        let handled = requests::handle_messages(self.state, self.writer, &self.account, &mut self.inbox)
+            .inspect_err(|reason| self.refuse_malformed(*reason))?;
         let (has_complete, has_incomplete) = (handled > 0, !self.inbox.is_empty());
         let now = self.state.clock.now();
         self.connection.update(|activity| activity.record_messages(has_complete, has_incomplete, now));
         Ok(())
     }
 
+    /// Responds to a request with too many values, whose message id is known before they come.
+    fn refuse_malformed(&self, reason: CloseReason) {
+        if let CloseReason::MalformedMessage(error @ MessageError::TooManyValues) = reason
+            && let Some(message_id) = self.inbox.incomplete_request_id()
+        {
+            requests::refuse_malformed(self.state, self.writer, message_id, error);
+        }
+    }
+
     /// Rejects a request of which only a part was received, because its connection is closed for another client. Returns
     /// false if there is none.
     fn reject_incomplete(&mut self) -> bool {
--- a/crates/gateway/src/client/message_pack/requests.rs
+++ b/crates/gateway/src/client/message_pack/requests.rs
@@ -4,7 +4,7 @@
 use crate::admission::{self, RequestError};
 use crate::client::CloseReason;
 use crate::codec::client_request::ClientRequest;
-use crate::codec::message_pack::{Message, Response};
+use crate::codec::message_pack::{Message, MessageError, Response};
 use crate::request_context::{FinalAnswer, ResultReader};
 use crate::state::budgeted_buffer::BudgetedBuffer;
 use crate::state::memory::{BudgetExceeded, MemoryAccount};
@@ -22,8 +22,21 @@
     inbox: &mut Inbox,
 ) -> Result<usize, CloseReason> {
     let mut handled = 0;
-    while let Some(ReceivedMessage { message, length, sent }) = inbox.next(handled)? {
-        handled += length;
+    let result = handle_complete_messages(state, writer, account, inbox, &mut handled);
+    inbox.remove_handled(handled);
+    result.map(|()| handled)
+}
+
+/// Handles the complete messages after the first `handled` bytes, and adds their length to it.
+fn handle_complete_messages(
+    state: &Arc<State>,
+    writer: &Arc<ResponseWriter>,
+    account: &Arc<MemoryAccount>,
+    inbox: &mut Inbox,
+    handled: &mut usize,
+) -> Result<(), CloseReason> {
+    while let Some(ReceivedMessage { message, length, sent }) = inbox.next(*handled)? {
+        *handled += length;
         let message = match message {
             Ok(message) => message,
             Err(OverMemoryBudget { message_id }) => {
@@ -61,8 +74,7 @@
             break;
         }
     }
-    inbox.remove_handled(handled);
-    Ok(handled)
+    Ok(())
 }
 
 /// Rejects a request of which only a part was received, unless its message id is in use.
@@ -72,6 +84,14 @@
     }
 }
 
+/// Responds to a request that can't be read, of which a part was received, unless its message id is in use.
+pub(super) fn refuse_malformed(state: &State, writer: &ResponseWriter, message_id: u32, error: MessageError) {
+    if register_message_id(writer, message_id).is_ok() {
+        state.counters.update_gateway(|counters| counters.invalid_requests += 1);
+        writer.send(message_id, &Response::Errored(&error.to_string()));
+    }
+}
+
 /// Records a message id. Returns whether a request may be opened under it; a reused id ends the connection.
 fn register_message_id(writer: &ResponseWriter, message_id: u32) -> Result<bool, CloseReason> {
     match writer.register_message_id(message_id) {
--- a/crates/gateway/src/codec/message_pack/framing.rs
+++ b/crates/gateway/src/codec/message_pack/framing.rs
@@ -6,6 +6,10 @@
 /// Maximum nesting of arrays and maps. A valid message has three levels (message, parameters, fields); the rest is
 /// reserve.
 const MAX_NESTING: usize = 8;
+/// Maximum number of fields of a map. A request has seven, and clients may add some.
+const MAX_MAP_FIELDS: usize = 64;
+/// Maximum number of values of an array. A client can take back as many requests at once.
+const MAX_ARRAY_VALUES: usize = 4096;
 
 /// Incremental scanner for the end of a message. Keeps its position between calls, so that the cost of a message that
 /// arrives in pieces is linear in its length and not quadratic.
@@ -61,7 +65,7 @@
             let Some(marker) = rest.first().map(|byte| Marker::from_u8(*byte)) else { return Ok(None) };
             let Some(ValueSize { header, body, items }) = value_size(marker, rest)? else { return Ok(None) };
             let end = self.scanned.saturating_add(header).saturating_add(body);
-            if self.discarded.saturating_add(end) > MAX_MESSAGE_BYTES || items > MAX_MESSAGE_BYTES {
+            if self.discarded.saturating_add(end) > MAX_MESSAGE_BYTES {
                 return Err(MessageError::TooLong);
             }
             if end > bytes.len() {
@@ -119,8 +123,17 @@
     };
     let body = |bytes: usize| length(bytes).map(|n| ValueSize::with_body(1 + bytes, n));
     let typed_body = |bytes: usize| length(bytes).map(|n| ValueSize::with_body(2 + bytes, n));
-    let items = |bytes: usize, values_per_entry: usize| {
-        length(bytes).map(|n| ValueSize::with_items(1 + bytes, n.saturating_mul(values_per_entry)))
+    let array = |bytes: usize| {
+        length(bytes).map(|values| match values {
+            ..=MAX_ARRAY_VALUES => Ok(ValueSize::with_items(1 + bytes, values)),
+            _ => Err(MessageError::TooManyValues),
+        })
+    };
+    let map = |bytes: usize| {
+        length(bytes).map(|fields| match fields {
+            ..=MAX_MAP_FIELDS => Ok(ValueSize::with_items(1 + bytes, 2 * fields)),
+            _ => Err(MessageError::TooManyValues),
+        })
     };
     Ok(match marker {
         Marker::FixPos(_) | Marker::FixNeg(_) | Marker::Null | Marker::True | Marker::False => {
@@ -135,11 +148,11 @@
         Marker::Str16 | Marker::Bin16 => body(2),
         Marker::Str32 | Marker::Bin32 => body(4),
         Marker::FixArray(n) => Some(ValueSize::with_items(1, usize::from(n))),
-        Marker::Array16 => items(2, 1),
-        Marker::Array32 => items(4, 1),
+        Marker::Array16 => array(2).transpose()?,
+        Marker::Array32 => array(4).transpose()?,
         Marker::FixMap(n) => Some(ValueSize::with_items(1, 2 * usize::from(n))),
-        Marker::Map16 => items(2, 2),
-        Marker::Map32 => items(4, 2),
+        Marker::Map16 => map(2).transpose()?,
+        Marker::Map32 => map(4).transpose()?,
         Marker::FixExt1 => Some(ValueSize::with_body(2, 1)),
         Marker::FixExt2 => Some(ValueSize::with_body(2, 2)),
         Marker::FixExt4 => Some(ValueSize::with_body(2, 4)),
--- a/crates/gateway/src/codec/message_pack/mod.rs
+++ b/crates/gateway/src/codec/message_pack/mod.rs
@@ -20,6 +20,8 @@
     TooLong,
     #[error("not MessagePack-RPC: values nested too deep")]
     NestedTooDeep,
+    #[error("too many fields or values")]
+    TooManyValues,
     #[error("not MessagePack")]
     NotMessagePack,
     #[error("message id is not an unsigned 32-bit integer")]
--- a/crates/gateway/tests/gateway/client_isolation.rs
+++ b/crates/gateway/tests/gateway/client_isolation.rs
@@ -310,6 +310,57 @@
     }
 }
 
+/// The beginning of a request that announces more fields than any request has.
+fn many_short_fields(protocol: Protocol) -> Vec<u8> {
+    const FIELDS: u32 = 60_000;
+    match protocol {
+        Protocol::MessagePack => {
+            let head = [0x94, 0, 1, 0xa4, b'l', b'o', b'o', b'k', 0x92, 0xdf];
+            let fields = [0xa0, 0x01].repeat(FIELDS as usize);
+            [&head[..], &FIELDS.to_be_bytes(), &fields].concat()
+        }
+        Protocol::PagedRest => {
+            let fields: String = (0..FIELDS).map(|field| format!("a{field}:\r\n")).collect();
+            format!("POST /v1/statement HTTP/1.1\r\n{fields}").into_bytes()
+        }
+    }
+}
+
+/// Guards against heads of very many short fields, each of which took some 10 ms to read: hundreds of them at once
+/// delayed all other clients.
+#[test]
+fn requests_of_very_many_short_fields_are_refused_at_once_and_delay_no_others() {
+    const THREADS: usize = 64;
+    let limits = Limits { memory_mb: 32, poll_ms: 1000, ..LIMITS };
+    for protocol in PROTOCOLS {
+        let test_bed = TestBed::start(limits);
+        let address = test_bed.address(protocol);
+        let request = Arc::new(many_short_fields(protocol));
+        let flood = Background::start(THREADS, move || {
+            let Some(mut stream) = raw_connection(address) else { return };
+            let _ = stream.write_all(&request);
+            let _ = stream.read(&mut [0; 1024]);
+        });
+        let usual = test_bed.serve_usual_clients(Duration::from_secs(3));
+        let mut stream = raw_connection(address).unwrap();
+        stream.write_all(&many_short_fields(protocol)[..8 * 1024]).unwrap();
+        let mut answer = [0; 1024];
+        let length = stream.read(&mut answer).unwrap_or(0);
+        flood.stop();
+        let answer = String::from_utf8_lossy(&answer[..length]);
+        let refusal = if protocol == Protocol::MessagePack { "too many fields" } else { "431" };
+        assert!(answer.contains(refusal), "{protocol:?}: {answer}");
+        for (usual_protocol, figures) in PROTOCOLS.iter().zip(&usual) {
+            let description = format!("short fields of {protocol:?}, usual clients of {usual_protocol:?}");
+            assert_served(figures, &description);
+            let slowest = Duration::from_millis(figures.latency_ms(100) as u64);
+            assert!(slowest < LOOK_UP_AIM, "{description}: {figures}");
+        }
+        let peak = test_bed.gateway.peak_memory_bytes();
+        assert!(peak <= limits.memory_mb << 20, "{protocol:?}: {} KiB", peak >> 10);
+    }
+}
+
 /// Requests of classes that do not exist, each of another: as many as a client writes at once.
 fn unknown_requests(protocol: Protocol, host: SocketAddr, write: u32) -> Vec<u8> {
     const REQUESTS: u32 = 20;
