Do not admit a request with an effect again whose id or key may have run

What callers saw: a once-only statement whose id came again after its client had left ran twice: 5 of 5 after its run and 4 of 5 during it over MessagePack-RPC, 10 of 10 over paged REST under its idempotency key.

Cause: ids were known while their request was in flight. With the departure of the client it ended, and that it may have run was forgotten.

Change: larchfall_policy::request_ids keeps the identities of requests with an effect that an engine may have run, for as long as there is room and for the longest time limit at least. A request that surely never ran may come again.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -8,11 +8,12 @@
 use crate::state::State;
 use crate::state::limits::BYTES_PER_REQUEST;
 use crate::state::memory::{BudgetExceeded, MemoryAccount, Purpose, Reservation};
-use crate::state::policy_handle::DuplicateId;
+use larchfall_policy::request_ids::{IdentityError, RequestIdentity};
 use larchfall_policy::time::{Duration, Timestamp};
 use larchfall_policy::types::{Request, RoutingDecision};
 use std::sync::Arc;
 use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_128;
 
 /// Time from the client to the gateway and back under load. A request's deadline is this much earlier than the end of
 /// the client's timeout, so that the answer arrives in time.
@@ -32,6 +33,9 @@
     /// The memory for requests in flight does not admit this request of this client.
     #[error(transparent)]
     OverMemoryBudget(#[from] BudgetExceeded),
+    /// Too many requests that may have had an effect are remembered.
+    #[error("too many requests with an effect")]
+    TooManyIdentities,
 }
 
 /// Why a request is invalid. The messages go to clients and use the field names of MessagePack-RPC.
@@ -49,9 +53,12 @@
     /// The request class runs requests in the order of an ordering key, and the request has none.
     #[error("subject is missing")]
     MissingOrderingKey,
-    /// Another request with the same id is in flight.
+    /// Another request with the same id or idempotency key is in flight.
     #[error("this id is in hand already")]
     DuplicateId,
+    /// A request with the same id or idempotency key may have had its effect.
+    #[error("this id was used by a request that may have run")]
+    MayHaveRun,
 }
 
 /// Validates a client's request, which was sent at `sent_at`, and converts it to a request of the policy whose data set
@@ -111,10 +118,12 @@
     })?;
     // Reading the statement is the most expensive step, so that only a request that fits gets there.
     let request = Request { data_set: data_set(client_request.statement).unwrap_or(0), ..request };
+    let identities = identities(state, client_request, class);
+    let has_effect = state.settings.classes[class].has_effect;
     let index = state
         .policy
-        .admit(client_request.id_number, request)
-        .map_err(|DuplicateId| count_invalid(state, InvalidRequest::DuplicateId))?;
+        .admit(identities, has_effect, request)
+        .map_err(|error| identity_refused(state, class, error))?;
     let context = RequestContext {
         id: client_request.id.to_owned(),
         class,
@@ -129,6 +138,32 @@
     Ok(())
 }
 
+/// What identifies a request. Engines drop a repeated request by its idempotency key only in classes that require one;
+/// in other classes with an effect, this gateway has to.
+fn identities(state: &State, client_request: &ClientRequest, class: usize) -> Vec<RequestIdentity> {
+    let class_settings = &state.settings.classes[class];
+    let is_unrepeatable = class_settings.has_effect && !class_settings.requires_idempotency_key;
+    let key = client_request.idempotency_key.filter(|_| is_unrepeatable);
+    let id = RequestIdentity::from(client_request.id_number);
+    let key_identity = key.map(|key| {
+        let scope = [client_request.tenant, client_request.class, key].join("\0");
+        RequestIdentity(xxh3_128(scope.as_bytes()))
+    });
+    [id].into_iter().chain(key_identity).collect()
+}
+
+/// Counts a request that is not admitted for its identities, and converts the reason to the error of [`admit`].
+fn identity_refused(state: &State, class: usize, error: IdentityError) -> RequestError {
+    match error {
+        IdentityError::InFlight => count_invalid(state, InvalidRequest::DuplicateId),
+        IdentityError::MayHaveRun => count_invalid(state, InvalidRequest::MayHaveRun),
+        IdentityError::TooMany => {
+            state.counters.update_class(class, |counters| counters.rejected += 1);
+            RequestError::TooManyIdentities
+        }
+    }
+}
+
 /// Reserves the memory that a request occupies while it is in flight.
 fn reserve_memory(
     account: &Arc<MemoryAccount>,
--- a/crates/gateway/src/client/message_pack/requests.rs
+++ b/crates/gateway/src/client/message_pack/requests.rs
@@ -119,7 +119,9 @@
         Err(RequestError::Invalid(invalid)) => {
             writer.send(message_id, &Response::Errored(&invalid.to_string()));
         }
-        Err(RequestError::OverMemoryBudget(_)) => reject_over_limits(state, writer, message_id),
+        Err(RequestError::OverMemoryBudget(_) | RequestError::TooManyIdentities) => {
+            reject_over_limits(state, writer, message_id);
+        }
     }
 }
 
--- a/crates/gateway/src/client/paged_rest/request_fields.rs
+++ b/crates/gateway/src/client/paged_rest/request_fields.rs
@@ -19,7 +19,20 @@
     match invalid {
         InvalidRequest::MissingIdempotencyKey => FieldError::Missing { field: "reference" }.to_string(),
         InvalidRequest::MissingOrderingKey => FieldError::Missing { field: "key" }.to_string(),
-        other => other.to_string(),
+        InvalidRequest::DuplicateId => "a statement with this reference is in hand already".to_owned(),
+        InvalidRequest::MayHaveRun => "a statement with this reference may have run".to_owned(),
+        InvalidRequest::UnknownClass | InvalidRequest::UnknownTenant => invalid.to_string(),
+    }
+}
+
+/// Status of the response to a request that was not admitted.
+pub(super) fn invalid_request_status(invalid: InvalidRequest) -> u16 {
+    match invalid {
+        InvalidRequest::DuplicateId | InvalidRequest::MayHaveRun => 409,
+        InvalidRequest::UnknownClass
+        | InvalidRequest::UnknownTenant
+        | InvalidRequest::MissingIdempotencyKey
+        | InvalidRequest::MissingOrderingKey => 400,
     }
 }
 
--- a/crates/gateway/src/client/paged_rest/statement.rs
+++ b/crates/gateway/src/client/paged_rest/statement.rs
@@ -57,9 +57,12 @@
             service.pages.abandon(result);
             Err(match error {
                 RequestError::Invalid(error) => {
-                    responses::invalid_call(400, &request_fields::invalid_request_text(error))
+                    let status = request_fields::invalid_request_status(error);
+                    responses::invalid_call(status, &request_fields::invalid_request_text(error))
+                }
+                RequestError::OverMemoryBudget(_) | RequestError::TooManyIdentities => {
+                    responses::rejected(state.settings.max_retry_after)
                 }
-                RequestError::OverMemoryBudget(_) => responses::rejected(state.settings.max_retry_after),
             })
         }
     }
--- a/crates/gateway/src/startup/state.rs
+++ b/crates/gateway/src/startup/state.rs
@@ -18,6 +18,7 @@
 use larchfall_config::Settings;
 use larchfall_leases::load_sharing::{LoadReportSharing, LoadSharingSettings};
 use larchfall_policy::policy::Policy;
+use larchfall_policy::request_ids::IdentityLimits;
 use larchfall_policy::types::{Capabilities, PolicyConfig};
 use slog::Logger;
 use std::sync::{Arc, Mutex};
@@ -46,6 +47,10 @@
         ..platform.policy.capabilities
     };
     let timers = Arc::new(Timers::new(clock));
+    let identity_limits = IdentityLimits {
+        max_kept: limits.request_identities,
+        retention: transport_settings.longest_deadline(),
+    };
     let policy = Policy::new(seed, PolicyConfig { capabilities, ..platform.policy });
     State {
         clock,
@@ -55,7 +60,7 @@
         settings: transport_settings,
         limits,
         request_memory: MemoryPool::new(limits.request_memory),
-        policy: PolicyHandle::new(policy, clock, timers.clone()),
+        policy: PolicyHandle::new(policy, identity_limits, clock, timers.clone()),
         timers,
         client_connections: ClientConnections::new(ConnectionLimits {
             total: limits.all_client_connections,
--- a/crates/gateway/src/state/limits.rs
+++ b/crates/gateway/src/state/limits.rs
@@ -19,6 +19,10 @@
 /// Memory of a request in flight in bytes, without its statement: the part of its coroutine's stack that is touched,
 /// its records, and the input buffer of its engine connection.
 pub const BYTES_PER_REQUEST: usize = 16 * 1024;
+/// Divisor of the machine's memory that gives the memory for identities of requests that may have had an effect.
+const IDENTITY_MEMORY_DIVISOR: usize = 64;
+/// Memory of one identity in bytes, in the set and in the queue of identities.
+const BYTES_PER_IDENTITY: usize = 80;
 /// Smallest share of the memory for requests that a client connection is guaranteed, in bytes: one request with a short
 /// statement, and one read of input.
 const MIN_REQUEST_SHARE_BYTES: usize = BYTES_PER_REQUEST + 5 * 1024;
@@ -47,6 +51,8 @@
     pub request_memory: MemoryBudget,
     /// Number of requests without a statement that `request_memory` allows.
     pub requests: usize,
+    /// Number of identities of requests that are kept because the requests may have had an effect.
+    pub request_identities: usize,
     /// Memory for results that are being read and responses not yet sent, of all clients.
     pub response_memory: MemoryBudget,
 }
@@ -70,6 +76,7 @@
             engine_connections: ENGINE_DESCRIPTOR_FRACTION.of(descriptors),
             request_memory: MemoryBudget::new(request_bytes, client_connections, MIN_REQUEST_SHARE_BYTES),
             requests: request_bytes / BYTES_PER_REQUEST,
+            request_identities: memory / IDENTITY_MEMORY_DIVISOR / BYTES_PER_IDENTITY,
             response_memory: MemoryBudget::new(response_bytes, client_connections, MIN_RESPONSE_SHARE_BYTES),
         };
         let is_usable = limits.client_connections > 0 && limits.engine_connections > 0 && limits.requests > 0;
--- a/crates/gateway/src/state/policy_handle.rs
+++ b/crates/gateway/src/state/policy_handle.rs
@@ -19,13 +19,14 @@
 use larchfall_health_gossip::observations::Observations;
 use larchfall_policy::event::PolicyEvent;
 use larchfall_policy::policy::Policy;
+use larchfall_policy::request_ids::IdentityLimits;
 use larchfall_policy::time::Timestamp;
 use larchfall_quotas::demand::Arrivals;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 pub use capacity::QuotaEngine;
 pub use engines::{EndpointSummary, EngineStatus};
-pub use in_flight::{DisconnectAction, DuplicateId};
+pub use in_flight::DisconnectAction;
 pub use larchfall_policy::policy::TICK_INTERVAL;
 
 /// Thread-safe handle to the policy and to the state that must stay consistent with the policy.
@@ -48,11 +49,16 @@
 
 impl PolicyHandle {
     /// Creates a handle without engines or requests.
-    pub fn new(policy: Policy, clock: Clock, timers: Arc<Timers>) -> PolicyHandle {
+    pub fn new(
+        policy: Policy,
+        identity_limits: IdentityLimits,
+        clock: Clock,
+        timers: Arc<Timers>,
+    ) -> PolicyHandle {
         let state = PolicyState {
             policy,
             engines: EngineTable::default(),
-            in_flight: InFlightRequests::default(),
+            in_flight: InFlightRequests::new(identity_limits),
             arrivals: Arrivals::default(),
             capacity: CapacityPlan::default(),
             observations: None,
--- a/crates/gateway/src/state/policy_handle/in_flight.rs
+++ b/crates/gateway/src/state/policy_handle/in_flight.rs
@@ -1,16 +1,12 @@
 //! The table of requests in flight. The policy identifies each request by its index in this table.
 
+use larchfall_policy::request_ids::{
+    HeldIdentities, IdentityError, IdentityLimits, RequestIdentity, RequestIds,
+};
+use larchfall_policy::time::Timestamp;
 use may::sync::Blocker;
 use slab::Slab;
-use std::collections::HashSet;
 use std::sync::Arc;
-use thiserror::Error;
-
-/// Another request with the same id is in flight. Engines identify queries by this id alone, so that cancelling the
-/// second request would cancel the first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-#[error("a request with this id is already in flight")]
-pub struct DuplicateId;
 
 /// How the coroutine of a request proceeds after the request's client has disconnected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,8 +19,9 @@
 
 /// State of a request in flight that the policy does not hold.
 pub(super) struct InFlightRequest {
-    /// Id under which engines know the request's query.
-    id: u64,
+    identities: HeldIdentities,
+    /// Whether an engine may have run an attempt of the request.
+    may_have_run: bool,
     /// How to proceed after the client has disconnected; `None` while the client is connected.
     pub(super) disconnect_action: Option<DisconnectAction>,
     /// Wakes the request's coroutine while the coroutine waits for a new routing decision.
@@ -32,25 +29,44 @@
 }
 
 /// All requests in flight. Their number is bounded by the memory that each request reserves before it is admitted.
-#[derive(Default)]
 pub(super) struct InFlightRequests {
     requests: Slab<InFlightRequest>,
-    ids: HashSet<u64>,
+    ids: RequestIds,
 }
 
 impl InFlightRequests {
-    /// Adds a request and returns its index.
-    pub(super) fn insert(&mut self, id: u64) -> Result<usize, DuplicateId> {
-        if !self.ids.insert(id) {
-            return Err(DuplicateId);
-        }
-        Ok(self.requests.insert(InFlightRequest { id, disconnect_action: None, waiter: None }))
+    pub(super) fn new(limits: IdentityLimits) -> InFlightRequests {
+        InFlightRequests { requests: Slab::new(), ids: RequestIds::new(limits) }
+    }
+
+    /// Adds a request and returns its index. Engines identify queries by their id alone, so that cancelling a second
+    /// request with the same id would cancel the first.
+    pub(super) fn insert(
+        &mut self,
+        now: Timestamp,
+        identities: Vec<RequestIdentity>,
+        has_effect: bool,
+    ) -> Result<usize, IdentityError> {
+        let identities = self.ids.begin(now, identities, has_effect)?;
+        Ok(self.requests.insert(InFlightRequest {
+            identities,
+            may_have_run: false,
+            disconnect_action: None,
+            waiter: None,
+        }))
     }
 
     /// Removes a finished request; its index can be reused.
-    pub(super) fn remove(&mut self, request: usize) {
+    pub(super) fn remove(&mut self, now: Timestamp, request: usize) {
         if let Some(removed) = self.requests.try_remove(request) {
-            self.ids.remove(&removed.id);
+            self.ids.end(now, removed.identities, removed.may_have_run);
+        }
+    }
+
+    /// Records that an engine may have run an attempt of the request.
+    pub(super) fn record_possible_run(&mut self, request: usize) {
+        if let Some(in_flight) = self.requests.get_mut(request) {
+            in_flight.may_have_run = true;
         }
     }
 
--- a/crates/gateway/src/state/policy_handle/requests.rs
+++ b/crates/gateway/src/state/policy_handle/requests.rs
@@ -1,19 +1,26 @@
 //! The policy calls that concern a single request: admission, routing, attempts, disconnection and release.
 
-use super::in_flight::{DisconnectAction, DuplicateId};
+use super::in_flight::DisconnectAction;
 use super::{PolicyHandle, PolicyState};
 use crate::state::engine_table::EngineInstance;
+use larchfall_policy::request_ids::{IdentityError, RequestIdentity};
 use larchfall_policy::types::{AfterAttempt, AttemptResult, ProgressUpdate, Request, RoutingDecision};
 use may::sync::Blocker;
 
 impl PolicyHandle {
-    /// Admits a request and returns its index. `id` identifies the request's query at engines and must not be in use by
-    /// another request in flight.
-    pub fn admit(&self, id: u64, request: Request) -> Result<usize, DuplicateId> {
+    /// Admits a request and returns its index. None of its identities may belong to another request that is in flight or
+    /// may have had its effect. `has_effect` tells whether running the request a second time could repeat an effect.
+    pub fn admit(
+        &self,
+        identities: Vec<RequestIdentity>,
+        has_effect: bool,
+        request: Request,
+    ) -> Result<usize, IdentityError> {
         let mut state = self.lock();
-        let index = state.in_flight.insert(id)?;
+        let now = self.clock.now();
+        let index = state.in_flight.insert(now, identities, has_effect)?;
         state.arrivals.count(request.class, request.tenant);
-        state.policy.admit(self.clock.now(), index, request);
+        state.policy.admit(now, index, request);
         Ok(index)
     }
 
@@ -67,12 +74,18 @@
 
     /// Records the outcome of an attempt; returns whether the request continues.
     pub fn record_outcome(&self, request: usize, attempt: u8, result: &AttemptResult) -> AfterAttempt {
-        self.lock().policy.on_attempt_finished(self.clock.now(), request, attempt, result)
+        let mut state = self.lock();
+        if !result.never_ran() {
+            state.in_flight.record_possible_run(request);
+        }
+        state.policy.on_attempt_finished(self.clock.now(), request, attempt, result)
     }
 
     /// Records that the coroutine of a request ended without recording the outcome of its attempt.
     pub fn abandon(&self, request: usize) {
-        self.lock().policy.abandon(self.clock.now(), request);
+        let mut state = self.lock();
+        state.in_flight.record_possible_run(request);
+        state.policy.abandon(self.clock.now(), request);
     }
 
     /// Records that the client of a request has disconnected, so that no answer is due any more, and wakes the
@@ -107,7 +120,7 @@
 
     /// Removes a finished request. None of its attempts may be in flight, because its index can be reused.
     pub fn release(&self, request: usize) {
-        self.lock().in_flight.remove(request);
+        self.lock().in_flight.remove(self.clock.now(), request);
     }
 
     /// Number of requests in flight.
--- a/crates/gateway/src/state/settings.rs
+++ b/crates/gateway/src/state/settings.rs
@@ -42,6 +42,8 @@
     pub in_order: bool,
     /// Whether each request must carry an idempotency key.
     pub requires_idempotency_key: bool,
+    /// Whether running a request a second time could repeat an effect.
+    pub has_effect: bool,
 }
 
 impl TransportSettings {
@@ -56,6 +58,7 @@
                 max_deadline: *max_deadline,
                 in_order: class.in_order,
                 requires_idempotency_key: matches!(class.idempotency, Idempotency::IdempotentWithKey { .. }),
+                has_effect: !matches!(class.idempotency, Idempotency::Idempotent),
             })
             .collect();
         let longest_deadline = settings.max_deadlines.iter().max().copied().unwrap_or_default();
--- a/crates/gateway/tests/gateway/client_isolation.rs
+++ b/crates/gateway/tests/gateway/client_isolation.rs
@@ -8,6 +8,7 @@
 };
 use larchfall_paged_rest::document::Document;
 use larchfall_stub::discovery::Discovery;
+use larchfall_stub::engine::{Engine, EngineBehavior};
 use larchfall_stub::rest::{RestClient, path};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -406,3 +407,72 @@
         }
     }
 }
+
+/// Guards against an effect that happens twice: a statement that may run once only ran again when its id or its
+/// idempotency key came again after its client had left.
+#[test]
+fn a_statement_that_runs_once_only_does_not_run_again_when_its_id_comes_again() {
+    for protocol in PROTOCOLS {
+        for stay in [LONG_RUN / 2, LONG_RUN * 2] {
+            let test_bed = TestBed::start(LIMITS);
+            let address = test_bed.address(protocol);
+            let id = next_id();
+            let request = RequestText { class: "once", id: &id, key: "7", statement: LONG };
+            let request = request.encode(protocol, address, 1);
+            let mut first = raw_connection(address).unwrap();
+            first.write_all(&request).unwrap();
+            thread::sleep(stay);
+            drop(first);
+            thread::sleep(DEPARTURE_GRACE);
+            let mut second = raw_connection(address).unwrap();
+            second.write_all(&request).unwrap();
+            let mut answer = [0; 1024];
+            let length = second.read(&mut answer).unwrap_or(0);
+            let answer = String::from_utf8_lossy(&answer[..length]);
+            let refusal = if protocol == Protocol::MessagePack { "this id " } else { "409" };
+            let description = format!("{protocol:?}, left after {stay:?}");
+            assert!(answer.contains(refusal), "{description}: {answer}");
+            thread::sleep(LONG_RUN * 2);
+            assert_eq!(test_bed.engine.count(LONG), 1, "{description}");
+        }
+    }
+}
+
+/// Guards against the refusal of a repetition that is safe: a request that was rejected has not run.
+#[test]
+fn a_rejected_statement_may_come_again_under_its_id() {
+    for protocol in PROTOCOLS {
+        let declines = Arc::new(AtomicBool::new(true));
+        let declines_now = declines.clone();
+        let engine = Engine::start("127.0.0.1:0", move |_| {
+            if declines_now.load(Ordering::Relaxed) {
+                EngineBehavior::Decline
+            } else {
+                EngineBehavior::Serve(Duration::ZERO, vec![b"ok\n".to_vec()])
+            }
+        })
+        .unwrap();
+        let discovery = Discovery::start("127.0.0.1:0").unwrap();
+        let text = config("127.0.0.1:0", discovery.address, Some(engine.address), LIMITS.descriptors);
+        let gateway = Gateway::start_with_operator_config(discovery, &text, Some(&operator_config("")));
+        let address = match protocol {
+            Protocol::MessagePack => gateway.address,
+            Protocol::PagedRest => gateway.rest.unwrap(),
+        };
+        let id = next_id();
+        let request = RequestText { class: "once", id: &id, key: "7", statement: "select 1" };
+        let request = request.encode(protocol, address, 1);
+        let answer_to = || {
+            let mut stream = raw_connection(address).unwrap();
+            stream.write_all(&request).unwrap();
+            let mut answer = [0; 1024];
+            let length = stream.read(&mut answer).unwrap_or(0);
+            String::from_utf8_lossy(&answer[..length]).into_owned()
+        };
+        let rejected = answer_to();
+        assert!(rejected.contains("Rejected") || rejected.contains("429"), "{protocol:?}: {rejected}");
+        declines.store(false, Ordering::Relaxed);
+        let served = answer_to();
+        assert!(served.contains("ok"), "{protocol:?}: {served}");
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 mod outlier_detection;
 pub mod policy;
 mod request_class;
+pub mod request_ids;
 mod request_record;
 mod retry_budget;
 mod slow_start;
--- a/crates/policy/src/policy/attempt_end.rs
+++ b/crates/policy/src/policy/attempt_end.rs
@@ -38,7 +38,7 @@
             self.key_order.on_attempt_finished(key, request, number, result.evidence, uncertain, now);
         }
         let Some(engine) = self.engines.get_mut(&attempt.engine) else { return AfterAttempt::Finished };
-        if !never_ran(result) {
+        if !result.never_ran() {
             record.record_possible_run(engine.entry, attempt.sent_time);
         }
         release_resources(engine, record, &self.classes, now);
@@ -71,19 +71,6 @@
     }
 }
 
-/// Whether it is certain that the engine never ran the attempt. A rejection proves that only when the process that has
-/// the attempt sent it: after a broken connection, the first call may still arrive later than a rejection on a new
-/// connection.
-fn never_ran(result: &AttemptResult) -> bool {
-    match result.outcome {
-        Outcome::ConnectFailed | Outcome::NotSent => true,
-        Outcome::Rejected => result.evidence.same_process,
-        Outcome::Returned | Outcome::Errored | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
-            false
-        }
-    }
-}
-
 /// Releases the threads and the data lock that the attempt held at its engine.
 fn release_resources(
     engine: &mut EngineRecord,
--- a/crates/policy/src/types/attempt.rs
+++ b/crates/policy/src/types/attempt.rs
@@ -83,6 +83,21 @@
             load_report: LoadReport::default(),
         }
     }
+
+    /// Whether it is certain that the engine never ran the attempt. A rejection proves that only when the process that has
+    /// the attempt sent it: after a broken connection, the first call may still arrive later than a rejection on a new
+    /// connection.
+    pub fn never_ran(&self) -> bool {
+        match self.outcome {
+            Outcome::ConnectFailed | Outcome::NotSent => true,
+            Outcome::Rejected => self.evidence.same_process,
+            Outcome::Returned
+            | Outcome::Errored
+            | Outcome::TimedOut
+            | Outcome::Reset
+            | Outcome::Cancelled => false,
+        }
+    }
 }
 
 /// An engine's own report of its load, which may be delayed and inaccurate.
