MessagePack-RPC: reject a request over the memory budget before it has come whole

Cause: a request that the budget does not admit was rejected once its last byte had come, up to 2 s later for a client that writes slowly; paged REST answers at once.

Change: the rejection is sent as soon as the request is refused. The rest of it is discarded as before, without a second answer.

--- a/crates/gateway/src/client/message_pack/inbox.rs
+++ b/crates/gateway/src/client/message_pack/inbox.rs
@@ -37,13 +37,12 @@
 struct RefusedMessage {
     /// Id of the message; `None` if the message is no request.
     message_id: Option<u32>,
+    /// Whether the message still awaits its response.
+    awaits_response: bool,
 }
 
-/// A request that was received completely and not kept, because the memory budget did not admit it.
-pub(super) struct OverMemoryBudget {
-    /// Id of the message, which awaits a response.
-    pub(super) message_id: u32,
-}
+/// A request that was received completely and not kept, because the memory budget did not admit it. It has its response.
+pub(super) struct OverMemoryBudget;
 
 /// A complete message that was received.
 pub(super) struct ReceivedMessage<'a> {
@@ -72,10 +71,18 @@
         self.bytes.is_empty() && self.refused.is_none()
     }
 
-    /// Message id of the request of which a part was received; `None` if there is none, or its id is not known yet.
+    /// Returns the message id of a request that was refused and awaits its response, once for each request.
+    pub(super) fn take_refused(&mut self) -> Option<u32> {
+        let refused = self.refused.as_mut().filter(|refused| refused.awaits_response)?;
+        refused.awaits_response = false;
+        refused.message_id
+    }
+
+    /// Message id of the request of which a part was received and that has no response; `None` if there is none, or its id
+    /// is not known yet.
     pub(super) fn incomplete_request_id(&self) -> Option<u32> {
         match self.refused {
-            Some(RefusedMessage { message_id }) => message_id,
+            Some(RefusedMessage { message_id, awaits_response }) => message_id.filter(|_| awaits_response),
             None => message_pack::request_message_id(&self.bytes),
         }
     }
@@ -116,7 +123,8 @@
 
     /// Begins to discard the message of which all buffered bytes are a part.
     fn refuse_message(&mut self) {
-        self.refused = Some(RefusedMessage { message_id: message_pack::request_message_id(&self.bytes) });
+        let message_id = message_pack::request_message_id(&self.bytes);
+        self.refused = Some(RefusedMessage { message_id, awaits_response: message_id.is_some() });
         self.discard_scanned();
     }
 
@@ -153,10 +161,10 @@
         let message = match self.refused.take() {
             None => Ok(decode_complete(&self.bytes[handled..handled + length])?),
             // No response is due, so that closing the connection is the only way to tell the client.
-            Some(RefusedMessage { message_id: None }) => {
+            Some(RefusedMessage { message_id: None, .. }) => {
                 return Err(CloseReason::OverMemoryBudget);
             }
-            Some(RefusedMessage { message_id: Some(message_id) }) => Err(OverMemoryBudget { message_id }),
+            Some(RefusedMessage { message_id: Some(_), .. }) => Err(OverMemoryBudget),
         };
         Ok(Some(ReceivedMessage { message, length, sent }))
     }
--- a/crates/gateway/src/client/message_pack/requests.rs
+++ b/crates/gateway/src/client/message_pack/requests.rs
@@ -1,6 +1,6 @@
 //! Handles messages of clients: admits requests, cancels aborted ones, and responds to all other messages at once.
 
-use super::inbox::{Inbox, OverMemoryBudget, ReceivedMessage};
+use super::inbox::{Inbox, ReceivedMessage};
 use crate::admission::{self, RequestError};
 use crate::client::CloseReason;
 use crate::codec::client_request::ClientRequest;
@@ -21,6 +21,12 @@
     account: &Arc<MemoryAccount>,
     inbox: &mut Inbox,
 ) -> Result<usize, CloseReason> {
+    // A request that the memory budget does not admit has its response before the rest of it is received. It is the first
+    // message in the inbox.
+    if let Some(message_id) = inbox.take_refused() {
+        register_message_id(writer, message_id)?;
+        reject_over_limits(state, writer, message_id);
+    }
     let mut handled = 0;
     let result = handle_complete_messages(state, writer, account, inbox, &mut handled);
     inbox.remove_handled(handled);
@@ -37,14 +43,7 @@
 ) -> Result<(), CloseReason> {
     while let Some(ReceivedMessage { message, length, sent }) = inbox.next(*handled)? {
         *handled += length;
-        let message = match message {
-            Ok(message) => message,
-            Err(OverMemoryBudget { message_id }) => {
-                register_message_id(writer, message_id)?;
-                reject_over_limits(state, writer, message_id);
-                continue;
-            }
-        };
+        let Ok(message) = message else { continue };
         match message {
             Message::Ping { message_id } => {
                 register_message_id(writer, message_id)?;
--- a/crates/gateway/tests/gateway/client_isolation.rs
+++ b/crates/gateway/tests/gateway/client_isolation.rs
@@ -476,3 +476,33 @@
         assert!(served.contains("ok"), "{protocol:?}: {served}");
     }
 }
+
+/// Guards against a refusal that a client has to wait for until it has written the rest of its request.
+#[test]
+fn a_request_over_the_memory_budget_is_rejected_before_it_has_come_whole() {
+    const FULL: usize = 300;
+    const STATEMENT_BYTES: usize = 60_000;
+    for protocol in PROTOCOLS {
+        let test_bed = TestBed::start(Limits { memory_mb: 32, ..LIMITS });
+        let address = test_bed.address(protocol);
+        let id = next_id();
+        let statement = " ".repeat(STATEMENT_BYTES);
+        let request = RequestText { class: "look", id: &id, key: "7", statement: &statement };
+        let request = request.encode(protocol, address, 1);
+        let half_written: Vec<TcpStream> = (0..FULL)
+            .filter_map(|_| {
+                let mut stream = raw_connection(address)?;
+                let _ = stream.write_all(&request[..request.len() * 9 / 10]);
+                Some(stream)
+            })
+            .collect();
+        let mut answers = half_written.into_iter().filter_map(|mut stream| {
+            stream.set_read_timeout(Some(Duration::from_millis(1))).unwrap();
+            let mut answer = [0; 1024];
+            let length = stream.read(&mut answer).ok()?;
+            let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+            Some(answer).filter(|answer| answer.contains("Rejected") || answer.contains("429"))
+        });
+        assert!(answers.next().is_some(), "{protocol:?}: none was rejected");
+    }
+}
