Paged REST: answer a call that waits before its connection closes, also at the shutdown

Cause: found while the new connection loop was read again. A call with `Connection: close` whose page was not there yet had its connection closed without an answer, since the loop looked for the reason to close before the wait. A call that queues for a slot had no answer when the gateway shut down.

Change: a connection closes only once its call has its response; a queued call is rejected before its connection closes for whatever reason.

The queued call at the shutdown is not held by a test.

--- a/crates/gateway/src/client/paged_rest/connection.rs
+++ b/crates/gateway/src/client/paged_rest/connection.rs
@@ -138,8 +138,8 @@
         }
         let now = self.state.clock.now();
         match self.close_reason(now) {
-            Some(CloseReason::Evicted) if self.queued.is_some() => {
-                self.closes = Some(CloseReason::Evicted);
+            Some(reason) if self.queued.is_some() => {
+                self.closes = Some(reason);
                 self.reject_queued();
                 return Ok(());
             }
@@ -163,13 +163,13 @@
             self.pause_reading();
             return self.write();
         }
-        if let Some(reason) = self.closes {
-            return Err(reason);
-        }
         let is_waiting = self.queued.is_some() || self.awaited.is_some();
         if is_waiting && has_client_left(self.stream) {
             return Err(CloseReason::ClientClosed);
         }
+        if let Some(reason) = self.closes.filter(|_| !is_waiting) {
+            return Err(reason);
+        }
         if let Some(queued) = self.queued.take() {
             self.pause_reading();
             return Ok(self.start_queued(queued));
--- a/crates/gateway/tests/gateway/paged_rest.rs
+++ b/crates/gateway/tests/gateway/paged_rest.rs
@@ -206,6 +206,20 @@
     gateway.log.wait_for("reason: asked-to-close");
 }
 
+/// Guards against a connection that closes as its client has asked before the page that the call waits for is there.
+#[test]
+fn a_call_that_closes_its_connection_has_its_page_first() {
+    let engine = engine(EngineBehavior::Serve(Duration::from_millis(150), pages(&["ok\n"])));
+    let gateway = gateway(Some(engine.address));
+    let mut client = gateway.rest_client();
+    let mut headers = request_headers("once");
+    headers.push(("Connection", "close"));
+    let answer = client.call("POST", "/v1/statement", &headers, b"select 1").unwrap();
+    assert_eq!(rows(&[document(&answer)]), ["ok"]);
+    assert_eq!(answer.field("connection"), Some("close"));
+    assert!(client.answer().is_err(), "the connection stayed open");
+}
+
 #[test]
 fn an_abandoned_result_cancels_its_request() {
     let slow = engine(EngineBehavior::Serve(FOREVER, pages(&["never\n"])));
