Paged REST: the time of a call does not begin while the call before it waits

Cause: found while the change was read again. No input is read while a call waits for its page, so that what is read next may have waited since. A client that answers the response at once was taken for one that had sent its next call before: its time limit was shorter by the wait of the call before, and the elapsed time of its document longer.

Change: when a response is made and no input is there, what comes later has not waited. The whole of a queued call, not its body alone, is counted by the memory budget meanwhile.

--- a/crates/gateway/src/client/input_clock.rs
+++ b/crates/gateway/src/client/input_clock.rs
@@ -29,6 +29,11 @@
         self.unread_since.get_or_insert(now);
     }
 
+    /// Records that all input that was sent so far has been read.
+    pub(super) fn record_all_read(&mut self) {
+        self.unread_since = None;
+    }
+
     /// Records a read of `count` bytes. Returns the earliest time at which they may have been sent; `None` if there were
     /// none.
     pub(super) fn record_read(&mut self, state: &State, count: usize) -> Option<Timestamp> {
--- a/crates/gateway/src/client/paged_rest/connection.rs
+++ b/crates/gateway/src/client/paged_rest/connection.rs
@@ -11,7 +11,7 @@
 use crate::client::linger::linger;
 use crate::client::listener::AcceptedConnection;
 use crate::client::pacing::Pacer;
-use crate::client::readiness::has_client_left;
+use crate::client::readiness::{has_client_left, has_unread_input};
 use crate::client::transfer::transferred_bytes;
 use crate::state::State;
 use crate::state::budgeted_buffer::BudgetedBuffer;
@@ -46,7 +46,7 @@
         "from" => accepted.from.to_string(), "reason" => reason.code(), "detail" => reason.detail());
 }
 
-/// A call that queues for a slot, with the memory of its body.
+/// A call that queues for a slot, with its memory.
 struct QueuedCall {
     call: Call,
     page: Option<PageAddress>,
@@ -203,7 +203,7 @@
             Ok(Progress::Complete { call, length }) => {
                 self.input.remove_front(length);
                 self.has_new_input = !self.input.is_empty();
-                self.handle(call);
+                self.handle(call, length);
             }
             Ok(Progress::ExpectsContinue) if !self.sent_continue => {
                 self.sent_continue = true;
@@ -217,8 +217,8 @@
         Ok(true)
     }
 
-    /// Handles a call: responds to it, begins to wait for its page, or queues for a slot.
-    fn handle(&mut self, call: Call) {
+    /// Handles a call of `length` bytes: responds to it, begins to wait for its page, or queues for a slot.
+    fn handle(&mut self, call: Call, length: usize) {
         self.sent_continue = false;
         if call.closes_connection {
             self.closes = Some(CloseReason::CloseRequested);
@@ -230,7 +230,7 @@
             Target::Page(page) => Some(page),
             Target::Statement => None,
         };
-        let Ok(memory) = self.account.reserve(Purpose::ClientInput, call.body.len()) else {
+        let Ok(memory) = self.account.reserve(Purpose::ClientInput, length) else {
             let response = responses::over_limits(self.state);
             return self.respond(&response, call.method);
         };
@@ -278,6 +278,10 @@
 
     /// Queues the response to the call with this method.
     fn respond(&mut self, response: &Response, method: Method) {
+        // Input that comes from now on is an answer to this response, and has not waited for it.
+        if !has_unread_input(self.stream) {
+            self.input_clock.record_all_read();
+        }
         self.awaited = None;
         self.call_sent = self.last_sent;
         self.has_responded = true;
--- a/crates/gateway/src/client/readiness.rs
+++ b/crates/gateway/src/client/readiness.rs
@@ -15,6 +15,11 @@
     let is_polled = poll(&mut sockets, Some(&Timespec::default()));
     is_polled.is_ok() && sockets[0].revents().intersects(event | PollFlags::HUP | PollFlags::ERR)
 }
+/// Returns whether the client has sent input that is unread.
+pub(super) fn has_unread_input(stream: &TcpStream) -> bool {
+    has_event(stream.inner(), PollFlags::IN)
+}
+
 /// Returns whether the client has closed or reset the connection, also while bytes that it sent before are unread.
 pub(super) fn has_client_left(stream: &TcpStream) -> bool {
     has_event(stream.inner(), PollFlags::RDHUP)
--- a/crates/gateway/tests/gateway/paged_rest.rs
+++ b/crates/gateway/tests/gateway/paged_rest.rs
@@ -220,6 +220,26 @@
     assert!(client.answer().is_err(), "the connection stayed open");
 }
 
+/// Guards against a call whose time counts from the call before it on its connection, while which nothing was read.
+#[test]
+fn the_time_of_a_call_does_not_begin_while_the_call_before_it_waits() {
+    const RUN_TIME: Duration = Duration::from_millis(150);
+    const ROUNDS: usize = 10;
+    let engine = Engine::start("127.0.0.1:0", |call| {
+        let duration = if call.statement == b"long" { RUN_TIME } else { Duration::ZERO };
+        EngineBehavior::Serve(duration, pages(&["ok\n"]))
+    })
+    .unwrap();
+    let gateway = gateway(Some(engine.address));
+    let mut client = gateway.rest_client();
+    for round in 0..ROUNDS {
+        assert_eq!(rows(&[document(&post(&mut client, "once", "long"))]), ["ok"]);
+        let next = document(&post(&mut client, "once", "select 1"));
+        let elapsed = Duration::from_millis(next.stats.elapsed_time_millis);
+        assert!(elapsed < RUN_TIME, "round {round}: {elapsed:?}");
+    }
+}
+
 #[test]
 fn an_abandoned_result_cancels_its_request() {
     let slow = engine(EngineBehavior::Serve(FOREVER, pages(&["never\n"])));
